--- /dev/null
+++ b/hollystage/__init__.py
@@ -0,0 +1,1 @@
+"""hollystage: admission and scheduling inside servers that stand behind other people's balancers."""
--- /dev/null
+++ b/hollystage/control.py
@@ -0,0 +1,497 @@
+"""All decisions of one server instance; the types it speaks are in interface.py.
+
+An adapter makes one Control for each process and tells it, with the clock, what happened: arrived, finished,
+at_call, called, gone, leaving, tick. After each batch decide() hands over the actions to carry out, in order.
+Each RPC is a generator (`_life`) that yields what it wants done and is resumed with the result.
+The mechanism and each departure from it are described in docs/design.md.
+"""
+from __future__ import annotations
+
+from collections.abc import Generator
+from heapq import heapify, heappop, heappush
+from math import exp
+from typing import Any
+
+from .interface import Action, Do, Halt, Kind, Method, Outcome, Rpc, Say, Settings, Tenant
+
+TICK = 50_000  # spacing of the one timer; due answers leave up to one tick early
+SPAN = 4_000_000  # over which arrivals and costs are remembered
+BUCKETS = 3  # n of the cascade
+WIDER = 1.25  # each outer bucket's rate over the next inner one's
+TAIL = 1.5  # the tail class is due at this multiple of the outermost delta
+GENEROUS = 20.0  # RPCs a second and core before anything was measured
+HIGH, LOW = 0.95, 0.85  # marks of the core gauge for pushbacks of the outermost class
+HEADROOM = 0.8  # share of the deadly crowd that may run, calls included
+FULL = 0.85  # share of the memory that may be taken by what is held and remembered
+CUT = 0.7  # share that the window on calls keeps after a sign of trouble
+SLOW = 3.0  # a call this many times slower than the usual one is such a sign
+HOPE = 0.7  # share of the usual cost that must still fit before the latency target
+HANG = 4.0  # this many usual costs without any progress mean that the cores hang
+
+START, DROP, OVERDUE, GONE, AT_CALL, GO, SKIP = "start drop overdue gone at_call go skip".split()
+HELD, RUNNING, CALLING, WAITING, JOINED, OVER = "held running calling waiting joined over".split()
+Life = Generator[Action | None, Any, None]
+
+
+class Decaying:
+    """A sum that forgets over `span`, brought up to date when it is read."""
+
+    def __init__(self, now: int, span: int = SPAN) -> None:
+        self.sum, self.at, self.span = 0.0, now, span
+
+    def read(self, now: int) -> float:
+        if now > self.at:
+            self.sum *= exp((self.at - now) / self.span)
+            self.at = now
+        return self.sum
+
+    def add(self, amount: float, now: int) -> None:
+        self.sum = self.read(now) + amount
+
+
+class Client:
+    """One client's nested token buckets; a client is a method, of one tenant where tenants are told."""
+
+    def __init__(self, tenant: Tenant | None, method: Method, rho: float, now: int) -> None:
+        self.tenant, self.method, self.rho, self.at = tenant, method, rho, now
+        self.arrivals = Decaying(now)
+        first, last = method.latency_target, max(method.deadline, method.latency_target)
+        self.deltas = [first + (last - first) * j // (BUCKETS - 1) for j in range(BUCKETS)]
+        self.deltas.append(int(last * TAIL))
+        self.tokens = [self.sigma(j) for j in range(BUCKETS)]
+
+    def sigma(self, j: int) -> float:
+        return max(1.0, self.rho * WIDER ** j * self.deltas[j] / 1e6)
+
+    def classify(self, now: int) -> int:
+        """The latency class from 1 to BUCKETS + 1, the tail; takes a token from its bucket and outer ones."""
+        level = BUCKETS
+        for j in reversed(range(BUCKETS)):
+            grown = self.tokens[j] + self.rho * WIDER ** j * (now - self.at) / 1e6
+            self.tokens[j] = min(self.sigma(j), grown)
+            if level == j + 1 and self.tokens[j] >= 1:
+                level = j
+        self.at = now
+        for j in range(level, BUCKETS):
+            self.tokens[j] -= 1
+        return level + 1
+
+
+class Control:
+    def __init__(self, settings: Settings, seed: int, now: int) -> None:
+        self.set, self.born, self.now = settings, now, now
+        self.chance = seed & (1 << 64) - 1
+        self.out: list[Action] = []
+        self.hold: list[tuple[int, int, Rpc]] = []
+        self.dues: list[tuple[int, int, Rpc]] = []
+        self.waiting: list[tuple[int, int, Rpc]] = []
+        self.keys: list[tuple[int, int, Rpc]] = []
+        self.kept: set[Rpc] = set()
+        self.count = 0
+        self.places = dict.fromkeys((HELD, RUNNING, CALLING, WAITING, JOINED, OVER), 0)
+        self.memory = 0.0
+        self.lim = float(settings.cores)
+        self.clients: dict[tuple[Tenant | None, Method], Client] = {}
+        self.runs = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
+        self.patience: dict[tuple[int, Method], tuple[int, int]] = {}
+        self.pressed = self.stuck = False
+        self.progress = self.planned = now
+        self.stop = self.closing = 0
+        self.open = 0.3 if settings.cold else 1.0
+        self.said = -1.0
+        self.window = max(1.0, settings.calls_out / 2)
+        self.lingering: list[int] = []
+        self.usual_call = 0.0
+        self.cut_at = now
+        self.out.append(Action(Do.HEALTH, flag=True))
+        self.out.append(Action(Do.TIMER, span=1 + self._random(TICK)))
+
+    def _random(self, below: int) -> int:
+        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
+        return (self.chance >> 33) * below >> 31
+
+    # What the adapter tells
+
+    def arrived(self, rpc: Rpc, now: int) -> None:
+        self.now = now
+        method, read_at = rpc.method, now - rpc.waited
+        rpc.due = now + rpc.patience if rpc.patience else max(now, read_at + method.deadline)
+        if self.stop:
+            rpc.due = max(now, min(rpc.due, self.stop - 3 * TICK))
+        rpc.target = read_at + method.latency_target - self._age(rpc)
+        client = self.clients.get((rpc.tenant, method))
+        if client is None:
+            rho = GENEROUS * self.set.cores / len(self.set.methods) / max(1, len(self.set.tenants))
+            client = self.clients[rpc.tenant, method] = Client(rpc.tenant, method, rho, now)
+        client.arrivals.add(1, now)
+        rpc.level = client.classify(now)
+        rpc.tag = read_at + client.deltas[rpc.level - 1]
+        self._line_up(self.dues, rpc.due, rpc)
+        rpc.life = self._life(rpc)
+        self._resume(rpc, None)
+
+    def finished(self, rpc: Rpc, outcome: Outcome, spent: int, now: int) -> None:
+        self.now = now
+        self._progress()
+        if rpc.place == RUNNING and outcome == Outcome.OK:
+            count, cost = self.runs[rpc.method]
+            count.add(1, now)
+            cost.add(max(0, now - rpc.began - rpc.spent_below), now)
+        self._resume(rpc, outcome)
+
+    def at_call(self, rpc: Rpc, now: int) -> None:
+        self.now = now
+        self._progress()
+        self._resume(rpc, AT_CALL)
+
+    def called(self, rpc: Rpc, outcome: Outcome, spent: int, now: int) -> None:
+        self.now = now
+        if outcome == Outcome.OK:
+            slow = self.usual_call and spent > SLOW * self.usual_call
+            # drifts up slowly and down quickly: what a call takes when nothing is wrong
+            gain = 0.02 if spent > self.usual_call else 0.2
+            self.usual_call += (spent - self.usual_call) * (gain if self.usual_call else 1)
+            if not slow:
+                self.window += 1 / self.window
+        else:
+            slow = outcome != Outcome.CANCELLED
+            if outcome == Outcome.TIMEOUT:
+                heappush(self.lingering, now + self.set.linger)
+        if slow and now - self.cut_at > self.usual_call:
+            # guards the calls below against crowding by all instances, whatever made them slow
+            self.window, self.cut_at = max(1.0, self.window * CUT), now
+        self.window = min(self.window, max(1.0, self.set.calls_out * 0.9))
+        rpc.spent_below += spent
+        self._resume(rpc, outcome)
+
+    def gone(self, rpc: Rpc, now: int) -> None:
+        self.now = now
+        rpc.gone = True
+        self._resume(rpc, GONE)
+
+    def leaving(self, left: int, now: int) -> None:
+        self.now = now
+        self.stop, self.closing = now + left, now + self.set.drain_grace
+        for _, _, rpc in self.dues:
+            rpc.due = min(rpc.due, self.stop - 3 * TICK)
+        self.dues = [(rpc.due, n, rpc) for _, n, rpc in self.dues]
+        heapify(self.dues)
+        self.out.append(Action(Do.HEALTH, flag=False))
+
+    def tick(self, gauges: dict[str, float], now: int) -> None:
+        self.now = now
+        busy, crowd = gauges.get("cores", 1.0), gauges.get("crowd", 0.0)
+        held = self.places[HELD]
+        if held and busy < HIGH and crowd < self.set.cores and not self.stuck:
+            self.lim += 1
+        elif not held:
+            self.lim -= (self.lim - self.set.cores) * 0.05
+        self.lim = max(float(self.set.cores), min(self.lim, self._crowd()))
+        self.pressed = busy >= (LOW if self.pressed else HIGH) and held > 0
+        self._watch_cores()
+        self._sweep()
+        if now - self.planned > 10 * TICK:
+            self.planned = now
+            self._plan()
+        self._say()
+        self.out.append(Action(Do.TIMER, span=TICK))
+
+    def decide(self, now: int) -> list[Action]:
+        self.now = now
+        self._pump()
+        out, self.out = self.out, []
+        return out
+
+    # One RPC, from top to bottom
+
+    def _life(self, rpc: Rpc) -> Life:
+        method = rpc.method
+        tokened = method.kind is Kind.TOKENED
+        if rpc.earlier is not None and rpc.earlier.ran:
+            self._move(rpc, JOINED)
+            word = yield Action(Do.JOIN, rpc)
+            if word in (OVERDUE, DROP):
+                yield Action(Do.ABORT, rpc)
+            return
+        unwanted = self._unwanted(rpc)
+        if unwanted:
+            yield self._push_back(rpc, last=unwanted == "late")
+            return
+        if rpc.earlier is not None and rpc.earlier.place == HELD and tokened:
+            # the newer try takes the place of the held one: its caller has most likely given the older up
+            rpc.tag = min(rpc.tag, rpc.earlier.tag)
+            self.kept.discard(rpc.earlier)
+            self._resume(rpc.earlier, DROP)
+        if tokened:
+            self._keep(rpc)
+            yield Action(Do.KEEP, rpc, method.window)
+        self._move(rpc, HELD)
+        self._line_up(self.hold, rpc.tag, rpc)
+        word = yield None
+        if word is not START:
+            if tokened and rpc in self.kept and word is not GONE:
+                self.kept.discard(rpc)
+                yield Action(Do.FORGET, rpc)
+            if word is not GONE:
+                yield self._push_back(rpc, last=True)
+            return
+        rpc.ran, rpc.began = True, self.now
+        self._move(rpc, RUNNING)
+        word = yield Action(Do.START, rpc)
+        while not isinstance(word, Outcome):
+            if word is AT_CALL:
+                word = yield from self._below(rpc)
+            elif word is GONE:
+                rpc.answered = True
+                stoppable = self.set.halt is Halt.ABORT and method.kind is Kind.IDEMPOTENT
+                word = yield Action(Do.HALT, rpc) if stoppable else None
+            elif word is DROP and method.kind is Kind.IDEMPOTENT:
+                rpc.answered = True
+                word = yield Action(Do.PUSH_BACK, rpc, self.set.longest_advice)
+            else:
+                rpc.answered = True
+                yield_halt = self.set.halt is not Halt.NONE and not tokened
+                self.out.append(Action(Do.ABORT, rpc))
+                word = yield Action(Do.HALT, rpc) if yield_halt else None
+
+    def _below(self, rpc: Rpc) -> Generator[Action | None, Any, Any]:
+        """The calls of one run; returns the word that ended the wait."""
+        method, again = rpc.method, True
+        if rpc.answered:
+            return (yield Action(Do.ABORT, rpc))
+        while True:
+            word: Any = SKIP
+            if again and not (method.skip_share > 0 and self.places[WAITING] >= self.set.cores):
+                self._move(rpc, WAITING)
+                self._line_up(self.waiting, rpc.tag, rpc)
+                word = yield None
+            if word is SKIP and method.skip_share > 0:
+                self._move(rpc, RUNNING)
+                return (yield Action(Do.SKIP, rpc))
+            if word is SKIP:
+                rpc.answered = True
+                return (yield Action(Do.ABORT, rpc))
+            if word is not GO:
+                return word
+            self._move(rpc, CALLING)
+            word = yield Action(Do.CALL, rpc, max(TICK, (rpc.target if rpc.target > self.now else rpc.due)
+                                                  - self.now - int(self._cost(method) / 2)))
+            if word is Outcome.OK:
+                self._move(rpc, RUNNING)
+                return (yield None)
+            if word in (OVERDUE, GONE, DROP):
+                return word
+            if word in (Outcome.CANCELLED, Outcome.MOOT):
+                return word
+            # a call is repeated only where it is proven not to have run, or may run again
+            unseen = word in (Outcome.FULL, Outcome.CONNECT_FAILED)
+            again = (unseen or method.kind is Kind.IDEMPOTENT) and method.skip_share <= 0
+
+    # Guards and measures
+
+    def _unwanted(self, rpc: Rpc) -> str:
+        if self.stop and self.now - rpc.waited >= self.closing - TICK or self.stuck:
+            return "away"
+        key = self.set.key_size if rpc.method.kind is Kind.TOKENED else 0
+        if self._taken() + rpc.size + key > FULL * self.set.memory:
+            return "memory"
+        cost = self._cost(rpc.method) * HOPE
+        if self.now + cost > min(rpc.target, rpc.due):
+            return "late"
+        if self.pressed and rpc.level >= BUCKETS and self.places[HELD]:
+            return "pressed"
+        if self.places[HELD] and self.now + self._wait(rpc.tag) + cost > min(rpc.target, rpc.due):
+            return "slow"
+        return ""
+
+    def _push_back(self, rpc: Rpc, last: bool) -> Action:
+        rpc.answered = True
+        span = self.set.longest_advice if self.stuck or self.stop else 0
+        return Action(Do.PUSH_BACK, rpc, span, last)
+
+    def _age(self, rpc: Rpc) -> int:
+        """How long the client has waited already, as far as the patience that came with this try tells.
+
+        A caller gives its first tries one fixed patience and later ones all that is left of the deadline.
+        """
+        if not rpc.patience:
+            return 0
+        seen, deadline, at = rpc.patience + rpc.waited, rpc.method.deadline, (rpc.caller, rpc.method)
+        first, weight = self.patience.get(at, (seen, 0))
+        if not rpc.further:
+            weight += 1 if abs(seen - first) < 0.02 * first else -1
+            self.patience[at] = (seen, 1) if weight < 0 else (first, min(weight, 50))
+        if seen > 1.02 * first or seen < 0.98 * first and (rpc.further or first > 0.98 * deadline):
+            return max(0, deadline - seen)
+        return 0
+
+    def _cost(self, method: Method) -> float:
+        """Usual time on the cores, as it is with the present crowd on them."""
+        count, cost = self.runs[method]
+        return cost.sum / count.sum if count.sum > 0.5 else 1e6 / GENEROUS
+
+    def _wait(self, tag: int) -> float:
+        ahead = sum(self._cost(rpc.method) for t, _, rpc in self.hold if t <= tag and rpc.place == HELD)
+        return ahead / self.lim
+
+    def _crowd(self) -> float:
+        warm = 1.0
+        if self.set.cold and self.set.warm_after:
+            warm = min(1.0, (self.now - self.born) / self.set.warm_after)
+        speed = self.set.cold_from + (1 - self.set.cold_from) * warm
+        return self.set.cores * max(1.0, HEADROOM * (1 + (self.set.fall_multiple - 1) * speed))
+
+    def _taken(self) -> float:
+        while self.keys and self.keys[0][0] < self.now:
+            self.kept.discard(heappop(self.keys)[2])
+        return self.memory + len(self.kept) * self.set.key_size
+
+    def _keep(self, rpc: Rpc) -> None:
+        self.kept.add(rpc)
+        self._line_up(self.keys, self.now + rpc.method.window, rpc)
+
+    def _progress(self) -> None:
+        self.progress = self.now
+        if self.stuck:
+            self.stuck = False
+            if not self.stop:
+                self.out.append(Action(Do.HEALTH, flag=True))
+
+    def _watch_cores(self) -> None:
+        slowest = max(self._cost(m) for m in self.runs)
+        if not self.places[RUNNING]:
+            self.progress = self.now
+        elif not self.stuck and self.now - self.progress > HANG * slowest + 4 * TICK:
+            # guards against cores that take work and finish none; harms where single RPCs run this long
+            self.stuck = True
+            self.out.append(Action(Do.HEALTH, flag=False))
+            for _, _, rpc in list(self.dues):
+                if rpc.place == HELD or rpc.place == RUNNING and rpc.method.kind is Kind.IDEMPOTENT:
+                    if not rpc.answered:
+                        self._resume(rpc, DROP)
+
+    def _sweep(self) -> None:
+        while self.dues and self.dues[0][0] <= self.now + TICK:
+            rpc = heappop(self.dues)[2]
+            if not rpc.answered and rpc.place != OVER:
+                self._resume(rpc, OVERDUE)
+        for _, _, rpc in self.hold:
+            if rpc.place == HELD and self.now + HOPE * self._cost(rpc.method) > min(rpc.target, rpc.due):
+                self._resume(rpc, DROP)
+        for _, _, rpc in self.waiting:
+            left = min(rpc.target, rpc.due) - self.now - self._cost(rpc.method) / 2 - self.usual_call
+            if rpc.place == WAITING and left < 0 and rpc.method.skip_share > 0:
+                self._resume(rpc, SKIP)
+
+    def _plan(self) -> None:
+        """Splits the measured completion rate over the active clients: lim runs, each taking its cost."""
+        needs: list[tuple[Client, float, float, float]] = []
+        sent: dict[Tenant, float] = {}
+        for client in self.clients.values():
+            if client.tenant is not None:
+                sent[client.tenant] = sent.get(client.tenant, 0) + client.arrivals.read(self.now)
+        for client in self.clients.values():
+            rate, cost = client.arrivals.read(self.now) * 1e6 / SPAN, self._cost(client.method) / 1e6
+            density = client.method.criticality / cost
+            inside = 1.0
+            if client.tenant is not None and client.tenant.quota_per_s and sent[client.tenant]:
+                quota = client.tenant.quota_per_s / self.set.peers * SPAN / 1e6
+                inside = min(1.0, quota / sent[client.tenant])
+            needs.append((client, rate * cost * inside * 1.2 + 0.01, density, cost))
+            if inside < 1:
+                needs.append((client, rate * cost * (1 - inside) * 1.2, density * self.set.over_share, cost))
+        given = dict.fromkeys(self.clients.values(), 0.0)
+        room = self.lim
+        while needs and room > 1e-3:
+            total = sum(need * density ** 2 for _, need, density, _ in needs)
+            if total <= 0:
+                break
+            part = min(1 / (density ** 2) for _, _, density, _ in needs)
+            part = min(part, room / total)
+            rest = []
+            for client, need, density, cost in needs:
+                got = need * min(1.0, part * density ** 2)
+                given[client] += got / cost
+                room -= got
+                if need - got > 1e-6:
+                    rest.append((client, need - got, density, cost))
+            needs = rest
+        for client, rho in given.items():
+            client.rho = rho * (1 + max(0.0, room) / self.lim)
+
+    def _say(self) -> None:
+        if self.set.say is Say.NONE:
+            return
+        wait = sum(self._cost(r.method) for _, _, r in self.hold if r.place == HELD) / self.lim
+        bound = 0.25 * min(m.latency_target for m in self.set.methods)
+        self.open = max(0.02, self.open * 0.95) if wait > bound else min(1.0, self.open * 1.03)
+        level = 0.0 if self.stuck or self.stop else self.open
+        match self.set.say:
+            case Say.THRESHOLD:
+                value = 1 - level
+            case Say.WINDOW:
+                value = level * 4 * self.set.cores
+            case _:
+                value = level
+        if abs(value - self.said) > 0.03 * max(self.said, 0.1):
+            self.said = value
+            self.out.append(Action(Do.SAY, value=value))
+
+    # Moving RPCs along
+
+    def _move(self, rpc: Rpc, place: str) -> None:
+        for old, sign in ((rpc.place, -1), (place, 1)):
+            if old:
+                self.places[old] += sign
+                weight = self.set.run_factor if old in (RUNNING, CALLING, WAITING) else old != OVER
+                self.memory += sign * weight * rpc.size
+        rpc.place = place
+
+    def _line_up(self, line: list[tuple[int, int, Rpc]], at: int, rpc: Rpc) -> None:
+        self.count += 1
+        heappush(line, (at, self.count, rpc))
+
+    def _resume(self, rpc: Rpc, word: Any) -> None:
+        """Lets the RPC go on with `word` until it waits again; words for what is over are dropped."""
+        if rpc.life is None:
+            return
+        try:
+            while True:
+                action = rpc.life.send(word)
+                if action is None:
+                    return
+                self.out.append(action)
+                if action.do in (Do.START, Do.JOIN, Do.CALL, Do.SKIP, Do.HALT):
+                    return
+                if rpc.place in (RUNNING, CALLING, WAITING, JOINED):
+                    return
+                word = None
+        except StopIteration:
+            rpc.life, rpc.answered = None, True
+            self._move(rpc, OVER)
+
+    def _pump(self) -> None:
+        while self.lingering and self.lingering[0] <= self.now:
+            heappop(self.lingering)
+        while self.waiting:
+            _, _, rpc = self.waiting[0]
+            if rpc.place != WAITING:
+                heappop(self.waiting)
+                continue
+            if self.places[CALLING] + len(self.lingering) >= self.window:
+                break
+            heappop(self.waiting)
+            self._resume(rpc, GO)
+        while self.hold and not self.stuck:
+            _, _, rpc = self.hold[0]
+            if rpc.place != HELD:
+                heappop(self.hold)
+                continue
+            begun = self.places[RUNNING] + self.places[CALLING] + self.places[WAITING]
+            if self.places[RUNNING] + 1 > self.lim or begun + 1 > self._crowd():
+                break
+            if self._taken() + rpc.size * (self.set.run_factor - 1) > self.set.memory * 0.95:
+                break
+            heappop(self.hold)
+            late = self.now + HOPE * self._cost(rpc.method) > min(rpc.target, rpc.due)
+            self._resume(rpc, DROP if late else START)
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,71 @@
+"""A box around one Control: feeds it RPCs, keeps what it asked for, ends runs when told."""
+from hollystage.control import TICK, Control
+from hollystage.interface import Do, Halt, Kind, Method, Outcome, Rpc, Say, Settings
+
+SECOND = 1_000_000
+
+
+def lookup(**changes):
+    return Method(**{"kind": Kind.IDEMPOTENT, "criticality": 1.0, "latency_target": 2 * SECOND,
+                     "deadline": 6 * SECOND} | changes)
+
+
+def booking(**changes):
+    return lookup(**{"kind": Kind.TOKENED, "criticality": 2.0, "window": 8 * SECOND} | changes)
+
+
+class Box:
+    def __init__(self, *methods, **changes):
+        self.methods = list(methods) or [lookup()]
+        self.settings = Settings(**{
+            "methods": self.methods, "cores": 2, "memory": 10_000.0, "run_factor": 8.0, "key_size": 10.0,
+            "fall_multiple": 5.0, "drain_grace": 2 * SECOND, "halt": Halt.ABORT, "say": Say.NONE,
+            "longest_advice": SECOND, "gauges": ["cores", "crowd"]} | changes)
+        self.now = 10 * SECOND
+        self.control = Control(self.settings, 7, self.now)
+        self.log = []
+        self.flush()
+
+    def flush(self):
+        new = [a for a in self.control.decide(self.now) if a.do is not Do.TIMER]
+        self.log += new
+        return new
+
+    def send(self, method=None, patience=0, **fields):
+        rpc = Rpc(method or self.methods[0], fields.pop("caller", 1), None, fields.pop("size", 10.0),
+                  patience, **fields)
+        self.control.arrived(rpc, self.now)
+        self.flush()
+        return rpc
+
+    def fill(self, method=None, many=None):
+        """Occupies the cores, so that what comes next is held."""
+        return [self.send(method) for _ in range(many or self.settings.cores)]
+
+    def end(self, rpc, outcome=Outcome.OK, spent=1000):
+        self.control.finished(rpc, outcome, spent, self.now)
+        return self.flush()
+
+    def call_ends(self, rpc, outcome, spent=1000):
+        self.control.called(rpc, outcome, spent, self.now)
+        return self.flush()
+
+    def at_call(self, rpc):
+        self.control.at_call(rpc, self.now)
+        return self.flush()
+
+    def gone(self, rpc):
+        self.control.gone(rpc, self.now)
+        return self.flush()
+
+    def wait(self, span, cores=1.0, crowd=2.0):
+        """Lets time pass with the timer going."""
+        new = []
+        for _ in range(max(1, span // TICK)):
+            self.now += TICK
+            self.control.tick({"cores": cores, "crowd": crowd}, self.now)
+            new += self.flush()
+        return new
+
+    def did(self, rpc):
+        return [a.do for a in self.log if a.rpc is rpc]
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,131 @@
+import pytest
+from helpers import SECOND, Box, booking, lookup
+
+from hollystage.control import BUCKETS, Client
+from hollystage.interface import Do, Kind, Outcome
+
+START, PUSH_BACK, ABORT, HALT, JOIN, KEEP = Do.START, Do.PUSH_BACK, Do.ABORT, Do.HALT, Do.JOIN, Do.KEEP
+
+
+def test_cascade_takes_from_the_smallest_bucket_with_a_token_and_all_outer_ones():
+    client = Client(None, lookup(latency_target=SECOND, deadline=3 * SECOND), 2.0, 0)
+    assert client.tokens == [2.0, 2.5 * 2, 3.125 * 3]
+    assert [client.classify(0) for _ in range(11)] == [1] * 2 + [2] * 3 + [3] * 4 + [BUCKETS + 1] * 2
+    assert client.classify(SECOND) == 1
+
+
+@pytest.mark.parametrize("first, second", [(1, 3), (3, 1)])
+def test_smallest_finish_tag_starts_first(first, second):
+    methods = [lookup(latency_target=n * SECOND) for n in (1, 2, 3)]
+    box = Box(*methods)
+    running = box.fill(methods[1])
+    held = {n: box.send(methods[n - 1]) for n in (first, second)}
+    box.end(running[0])
+    assert box.did(held[1]) == [START] and box.did(held[3]) == []
+
+
+@pytest.mark.parametrize("kind, again", [(Kind.IDEMPOTENT, None), (Kind.TOKENED, None)])
+@pytest.mark.parametrize("state", ["held", "running", "at call"])
+def test_all_that_was_read_is_answered_by_its_due_time(kind, again, state):
+    method = lookup(kind=kind, window=8 * SECOND, calls=True)
+    box = Box(method, below=True, calls_out=2.0)
+    running = box.fill()
+    rpc = box.send() if state == "held" else running[0]
+    if state == "at call":
+        box.at_call(rpc)
+    box.wait(6 * SECOND)
+    answers = [a for a in box.did(rpc) if a in (PUSH_BACK, ABORT)]
+    ran_tokened = kind is Kind.TOKENED and state != "held"
+    assert len(answers) == 1 and (answers == [ABORT] if ran_tokened else True)
+
+
+@pytest.mark.parametrize("patience, further, age", [
+    (1000, False, 0),      # a first try
+    (4000, True, 2000),    # a later one gets all that is left
+    (4000, False, 2000),   # so where it is not marked
+    (500, True, 5500),     # nearly nothing is left
+    (500, False, 0),       # an unmarked short one tells nothing
+])
+def test_age_of_a_further_try(patience, further, age):
+    box = Box()
+    for _ in range(3):
+        box.send(patience=1000_000)
+    rpc = box.send(patience=patience * 1000, further=further)
+    assert rpc.target == box.now + 2 * SECOND - age * 1000
+
+
+def test_repeats_of_a_tokened_rpc_run_once():
+    box = Box(booking())
+    first = box.send()
+    assert box.did(first) == [KEEP, START]
+    assert box.did(box.send(earlier=first)) == [JOIN]
+    box.end(first)
+    assert box.did(box.send(earlier=first)) == [JOIN]
+    box.fill()
+    held = box.send()
+    newer = box.send(earlier=held)
+    assert box.did(held) == [KEEP, PUSH_BACK] and box.did(newer) == [KEEP]
+
+
+@pytest.mark.parametrize("memory, runs", [(10_000.0, True), (85.0, False)])
+def test_without_room_for_a_key_nothing_is_run(memory, runs):
+    box = Box(booking(), memory=memory, run_factor=2.0, key_size=80.0)
+    assert (START in box.did(box.send())) == runs
+
+
+@pytest.mark.parametrize("cold, most", [(False, 8), (True, 2)])
+def test_crowd_counts_rpcs_back_from_calls(cold, most):
+    box = Box(lookup(calls=True), below=True, calls_out=100.0, cold=cold, cold_from=0.1,
+              warm_after=10 * SECOND)
+    for _ in range(20):
+        box.at_call(box.send())
+    assert sum(box.control.places[p] for p in ("running", "calling", "waiting")) <= most
+
+
+@pytest.mark.parametrize("waited, runs", [(0, False), (SECOND, True)])
+def test_nothing_that_came_after_the_grace_is_run(waited, runs):
+    box = Box()
+    box.control.leaving(5 * SECOND, box.now)
+    box.now += 2 * SECOND + 1000
+    assert (START in box.did(box.send(waited=waited))) == runs
+
+
+def test_everything_is_answered_before_the_stop():
+    box = Box(lookup(), booking())
+    rpcs = box.fill(box.methods[0]) + [box.send(box.methods[1])]
+    box.control.leaving(SECOND, box.now)
+    box.wait(SECOND)
+    assert all(PUSH_BACK in box.did(r) or ABORT in box.did(r) for r in rpcs)
+
+
+@pytest.mark.parametrize("outcome, kind, share, then", [
+    (Outcome.TIMEOUT, Kind.IDEMPOTENT, 0.3, Do.SKIP),
+    (Outcome.TIMEOUT, Kind.IDEMPOTENT, 0.0, Do.CALL),
+    (Outcome.TIMEOUT, Kind.NON_IDEMPOTENT, 0.0, ABORT),
+    (Outcome.RESET, Kind.TOKENED, 0.0, ABORT),
+    (Outcome.FULL, Kind.TOKENED, 0.0, Do.CALL),
+    (Outcome.CONNECT_FAILED, Kind.NON_IDEMPOTENT, 0.0, Do.CALL),
+])
+def test_a_call_is_repeated_only_where_it_may_be(outcome, kind, share, then):
+    box = Box(lookup(kind=kind, calls=True, skip_share=share, window=SECOND), below=True, calls_out=4.0)
+    rpc = box.send()
+    box.at_call(rpc)
+    assert box.call_ends(rpc, outcome)[0].do is then
+
+
+@pytest.mark.parametrize("kind, halted", [(Kind.IDEMPOTENT, True), (Kind.TOKENED, False)])
+def test_work_for_nobody_is_stopped_unless_a_repeat_may_want_it(kind, halted):
+    box = Box(lookup(kind=kind, window=SECOND))
+    rpc = box.send()
+    box.gone(rpc)
+    assert (HALT in box.did(rpc)) == halted
+
+
+def test_cores_that_finish_nothing_are_told_and_left():
+    box = Box()
+    running, held = box.fill(), box.send()
+    new = box.wait(2 * SECOND)
+    assert any(a.do is Do.HEALTH and not a.flag for a in new)
+    assert PUSH_BACK in box.did(held) and PUSH_BACK in box.did(running[0])
+    assert box.did(box.send()) == [PUSH_BACK]
+    assert any(a.do is Do.HEALTH and a.flag for a in box.end(running[0]))
