--- a/hollystage/benchlink/host.py
+++ b/hollystage/benchlink/host.py
@@ -44,8 +44,12 @@
 
     def tidy(self, now: int) -> None:
         while self.old and self.old[0][0] < now:
-            rpc = self.rpcs.pop(self.old.popleft()[1])
-            del self.ids[rpc]
+            ident = self.old.popleft()[1]
+            rpc = self.rpcs[ident]
+            if rpc.life is not None:  # work on hung cores may end long after its answer was given
+                self.old.append((now + self.longest, ident))
+                continue
+            del self.rpcs[ident], self.ids[rpc]
 
     def write(self, action: Action, reply: Reply) -> None:
         number, ident = self.number, self.ids.get(action.rpc, 0) if action.rpc is not None else 0
--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -226,6 +226,7 @@
             self._keep(rpc)
             yield Action(Do.KEEP, rpc, method.window)
         self._move(rpc, HELD)
+        rpc.held_at = self.now
         self._line_up(self.hold, rpc.tag, rpc)
         word = yield None
         if word is not START:
@@ -295,12 +296,15 @@
         key = self.set.key_size if rpc.method.kind is Kind.TOKENED else 0
         if self._taken() + rpc.size + key > FULL * self.set.memory:
             return "memory"
-        cost = self._cost(rpc.method) * HOPE
-        if self.now + cost > min(rpc.target, rpc.due):
+        limit, idle = min(rpc.target, rpc.due), self.places[RUNNING] + 1 <= self.lim and not self.places[HELD]
+        # with a core idle it is tried whatever its usual cost: guards against costs learned in a bad moment
+        # (cold, slow, crowded) that would turn all away and so never be learned anew; wastes one run at a time
+        cost = 0.0 if idle else self._cost(rpc.method) * HOPE
+        if self.now + cost >= limit:
             return "late"
         if self.pressed and rpc.level >= BUCKETS and self.places[HELD]:
             return "pressed"
-        if self.places[HELD] and self.now + self._wait(rpc.tag) + cost > min(rpc.target, rpc.due):
+        if not idle and self.now + self._wait(rpc.tag) + cost > limit:
             return "slow"
         return ""
 
@@ -493,5 +497,6 @@
             if self._taken() + rpc.size * (self.set.run_factor - 1) > self.set.memory * 0.95:
                 break
             heappop(self.hold)
-            late = self.now + HOPE * self._cost(rpc.method) > min(rpc.target, rpc.due)
+            idle = rpc.held_at == self.now and self.places[HELD] == 1
+            late = not idle and self.now + HOPE * self._cost(rpc.method) > min(rpc.target, rpc.due)
             self._resume(rpc, DROP if late else START)
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -112,6 +112,7 @@
     answered: bool = False
     gone: bool = False
     spent_below: int = 0
+    held_at: int = 0
     began: int = 0
     life: Generator[Any, Any, None] | None = None
 
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -40,6 +40,13 @@
     assert replies[2] == []
 
 
+def test_work_that_hangs_past_its_answer_is_still_known_when_it_ends():
+    done = batch(60_000_000, struct.pack(">BHQHI", 9, 3, 77, 0, 900))
+    timer = batch(50_000_000, struct.pack(">BHQB4f", 2, 3, 0, 0, *[0] * 4))
+    replies = talk(init(BARE) + batch(2000, rpc(77)) + timer + done)
+    assert [record[0] for record in replies[3]] == [6]  # the cores answer again: only health is set
+
+
 @pytest.mark.parametrize("data, words", [
     (b"\0\0", "inside a frame's length"),
     (struct.pack(">I", 40) + b"x", "input ends inside a frame"),
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -129,3 +129,11 @@
     assert PUSH_BACK in box.did(held) and PUSH_BACK in box.did(running[0])
     assert box.did(box.send()) == [PUSH_BACK]
     assert any(a.do is Do.HEALTH and a.flag for a in box.end(running[0]))
+
+
+def test_a_cost_learned_in_a_bad_moment_does_not_turn_all_away():
+    box = Box(lookup(latency_target=SECOND))
+    slow = box.send()
+    box.now += 3 * SECOND
+    box.end(slow)
+    assert box.did(box.send()) == [START]
