--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -26,6 +26,7 @@
 CUT = 0.7  # share that the window on calls keeps after a sign of trouble
 SLOW = 3.0  # a call this many times slower than the usual one is such a sign
 HOPE = 0.7  # share of the usual cost that must still fit before the latency target
+BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
 START, DROP, OVERDUE, GONE, AT_CALL, GO, SKIP = "start drop overdue gone at_call go skip".split()
@@ -95,6 +96,7 @@
         self.runs = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
         self.patience: dict[tuple[int, Method], tuple[int, int]] = {}
         self.pressed = self.stuck = False
+        self.reading = 0.0
         self.progress = self.planned = now
         self.stop = self.closing = 0
         self.open = 0.3 if settings.cold else 1.0
@@ -187,6 +189,7 @@
         elif not held:
             self.lim -= (self.lim - self.set.cores) * 0.05
         self.lim = max(float(self.set.cores), min(self.lim, self._crowd()))
+        self.reading += (max(0.0, crowd - self.places[RUNNING]) - self.reading) * TICK / SPAN
         self.pressed = busy >= (LOW if self.pressed else HIGH) and held > 0
         self._watch_cores()
         self._sweep()
@@ -428,7 +431,9 @@
             return
         wait = sum(self._cost(r.method) for _, _, r in self.hold if r.place == HELD) / self.lim
         bound = 0.25 * min(m.latency_target for m in self.set.methods)
-        self.open = max(0.02, self.open * 0.95) if wait > bound else min(1.0, self.open * 1.03)
+        # a window or a share keeps off RPCs of every criticality; worth it only where reading them costs much
+        blind = self.set.say is not Say.THRESHOLD and self.reading < BLIND * self.set.cores
+        self.open = max(0.02, self.open * 0.95) if wait > bound and not blind else min(1.0, self.open * 1.03)
         level = 0.0 if self.stuck or self.stop else self.open
         match self.set.say:
             case Say.THRESHOLD:
