--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -424,7 +424,7 @@
                     rest.append((client, need - got, density, cost))
             needs = rest
         for client, rho in given.items():
-            client.rho = rho * self.lim / max(1e-3, self.lim - room)
+            client.rho = rho * (1 + max(0.0, room) / self.lim)
 
     def _say(self) -> None:
         if self.set.say is Say.NONE:
