--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -26,6 +26,7 @@
 CUT = 0.7  # share that the window on calls keeps after a sign of trouble
 SLOW = 3.0  # a call this many times slower than the usual one is such a sign
 HOPE = 0.7  # share of the usual cost that must still fit before the latency target
+FULL_HOLD = 0.25  # share of a target that the hold may take up before callers are asked to send less
 BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
@@ -430,7 +431,9 @@
         if self.set.say is Say.NONE:
             return
         wait = sum(self._cost(r.method) for _, _, r in self.hold if r.place == HELD) / self.lim
-        bound = 0.25 * min(m.latency_target for m in self.set.methods)
+        # a threshold keeps the least critical off first and may wait for their target, others hit all methods
+        rank = (lambda m: m.criticality) if self.set.say is Say.THRESHOLD else (lambda m: m.latency_target)
+        bound = FULL_HOLD * min(self.set.methods, key=rank).latency_target
         # a window or a share keeps off RPCs of every criticality; worth it only where reading them costs much
         blind = self.set.say is not Say.THRESHOLD and self.reading < BLIND * self.set.cores
         self.open = max(0.02, self.open * 0.95) if wait > bound and not blind else min(1.0, self.open * 1.03)
