--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -97,7 +97,7 @@
         self.runs = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
         self.patience: dict[tuple[int, Method], tuple[int, int]] = {}
         self.pressed = self.stuck = False
-        self.reading = 0.0
+        self.reading = self.busy = 0.0
         self.progress = self.planned = now
         self.stop = self.closing = 0
         self.open = 0.3 if settings.cold else 1.0
@@ -183,7 +183,7 @@
 
     def tick(self, gauges: dict[str, float], now: int) -> None:
         self.now = now
-        busy, crowd = gauges.get("cores", 1.0), gauges.get("crowd", 0.0)
+        busy, crowd = self.busy, _ = gauges.get("cores", 1.0), gauges.get("crowd", 0.0)
         held = self.places[HELD]
         if held and busy < HIGH and crowd < self.set.cores and not self.stuck:
             self.lim += 1
@@ -300,8 +300,8 @@
         key = self.set.key_size if rpc.method.kind is Kind.TOKENED else 0
         if self._taken() + rpc.size + key > FULL * self.set.memory:
             return "memory"
-        limit, idle = min(rpc.target, rpc.due), self.places[RUNNING] + 1 <= self.lim and not self.places[HELD]
-        # with a core idle it is tried whatever its usual cost: guards against costs learned in a bad moment
+        limit, idle = min(rpc.target, rpc.due), self._idle() and not self.places[HELD]
+        # with cores idle it is tried whatever its usual cost: guards against costs learned in a bad moment
         # (cold, slow, crowded) that would turn all away and so never be learned anew; wastes one run at a time
         cost = 0.0 if idle else self._cost(rpc.method) * HOPE
         if self.now + cost >= limit:
@@ -312,6 +312,9 @@
             return "slow"
         return ""
 
+    def _idle(self) -> bool:
+        return self.places[RUNNING] + 1 <= self.lim and self.busy < LOW
+
     def _push_back(self, rpc: Rpc, last: bool) -> Action:
         rpc.answered = True
         span = self.set.longest_advice if self.stuck or self.stop else 0
@@ -505,6 +508,6 @@
             if self._taken() + rpc.size * (self.set.run_factor - 1) > self.set.memory * 0.95:
                 break
             heappop(self.hold)
-            idle = rpc.held_at == self.now and self.places[HELD] == 1
+            idle = rpc.held_at == self.now and self.places[HELD] == 1 and self._idle()
             late = not idle and self.now + HOPE * self._cost(rpc.method) > min(rpc.target, rpc.due)
             self._resume(rpc, DROP if late else START)
