--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -27,7 +27,10 @@
 SLOW = 3.0  # a call this many times slower than the usual one is such a sign
 HOPE = 0.7  # share of the usual cost that must still fit before the latency target
 FULL_HOLD = 0.25  # share of a target that the hold may take up before callers are asked to send less
+READ_FLOOR = 0.5  # share of the cores that runs keep however much is being read
+UNREAD = 0.05  # share of the shortest target that RPCs lie unread where reading them is what costs
 BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
+RECENT = 1_000_000  # over which unread times are remembered
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
 START, DROP, OVERDUE, GONE, AT_CALL, GO, SKIP = "start drop overdue gone at_call go skip".split()
@@ -97,7 +100,8 @@
         self.runs = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
         self.patience: dict[tuple[int, Method], tuple[int, int]] = {}
         self.pressed = self.stuck = False
-        self.reading = self.busy = 0.0
+        self.extra = self.busy = 0.0
+        self.reads, self.unread = Decaying(now, RECENT), Decaying(now, RECENT)
         self.progress = self.planned = now
         self.stop = self.closing = 0
         self.open = 0.3 if settings.cold else 1.0
@@ -127,6 +131,8 @@
             rho = GENEROUS * self.set.cores / len(self.set.methods) / max(1, len(self.set.tenants))
             client = self.clients[rpc.tenant, method] = Client(rpc.tenant, method, rho, now)
         client.arrivals.add(1, now)
+        self.reads.add(1, now)
+        self.unread.add(rpc.waited, now)
         rpc.level = client.classify(now)
         rpc.tag = read_at + client.deltas[rpc.level - 1]
         self._line_up(self.dues, rpc.due, rpc)
@@ -139,7 +145,7 @@
         if rpc.place == RUNNING and outcome == Outcome.OK:
             count, cost = self.runs[rpc.method]
             count.add(1, now)
-            cost.add(max(0, now - rpc.began - rpc.spent_below), now)
+            cost.add(max(1, now - rpc.began - rpc.spent_below), now)
         self._resume(rpc, outcome)
 
     def at_call(self, rpc: Rpc, now: int) -> None:
@@ -190,7 +196,7 @@
         elif not held:
             self.lim -= (self.lim - self.set.cores) * 0.05
         self.lim = max(float(self.set.cores), min(self.lim, self._crowd()))
-        self.reading += (max(0.0, crowd - self.places[RUNNING]) - self.reading) * TICK / SPAN
+        self.extra += (max(0.0, crowd - self.places[RUNNING]) - self.extra) * 0.05
         self.pressed = busy >= (LOW if self.pressed else HIGH) and held > 0
         self._watch_cores()
         self._sweep()
@@ -312,6 +318,16 @@
             return "slow"
         return ""
 
+    def _reading_lags(self) -> bool:
+        shortest = min(m.latency_target for m in self.set.methods)
+        return self.unread.read(self.now) > UNREAD * shortest * self.reads.read(self.now)
+
+    def _limit(self) -> float:
+        # reading goes on beside the runs whatever is decided; guards against both together crowding the cores
+        # past what they do well, seen as RPCs that lie unread; harms where cores would take the crowd gladly
+        extra = self.extra if self._reading_lags() else 0.0
+        return max(self.lim - extra, self.set.cores * READ_FLOOR)
+
     def _idle(self) -> bool:
         return self.places[RUNNING] + 1 <= self.lim and self.busy < LOW
 
@@ -438,7 +454,8 @@
         rank = (lambda m: m.criticality) if self.set.say is Say.THRESHOLD else (lambda m: m.latency_target)
         bound = FULL_HOLD * min(self.set.methods, key=rank).latency_target
         # a window or a share keeps off RPCs of every criticality; worth it only where reading them costs much
-        blind = self.set.say is not Say.THRESHOLD and self.reading < BLIND * self.set.cores
+        blind = self.set.say is not Say.THRESHOLD and not self._reading_lags()
+        blind = blind and self.extra < BLIND * self.set.cores
         self.open = max(0.02, self.open * 0.95) if wait > bound and not blind else min(1.0, self.open * 1.03)
         level = 0.0 if self.stuck or self.stop else self.open
         match self.set.say:
@@ -503,7 +520,7 @@
                 heappop(self.hold)
                 continue
             begun = self.places[RUNNING] + self.places[CALLING] + self.places[WAITING]
-            if self.places[RUNNING] + 1 > self.lim or begun + 1 > self._crowd():
+            if self.places[RUNNING] + 1 > self._limit() or begun + 1 > self._crowd():
                 break
             if self._taken() + rpc.size * (self.set.run_factor - 1) > self.set.memory * 0.95:
                 break
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -137,3 +137,12 @@
     box.now += 3 * SECOND
     box.end(slow)
     assert box.did(box.send()) == [START]
+
+
+@pytest.mark.parametrize("waited, most", [(1000, 8), (500_000, 4)])
+def test_runs_make_room_for_reading_where_rpcs_lie_unread(waited, most):
+    box = Box(cores=8)
+    box.end(box.send(waited=waited))
+    box.wait(SECOND, crowd=14.0)
+    rpcs = [box.send(waited=waited) for _ in range(16)]
+    assert sum(START in box.did(r) for r in rpcs) == most
