--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -308,7 +308,7 @@
             return "memory"
         limit, idle = min(rpc.target, rpc.due), self._idle() and not self.places[HELD]
         # with cores idle it is tried whatever its usual cost: guards against costs learned in a bad moment
-        # (cold, slow, crowded) that would turn all away and so never be learned anew; wastes one run at a time
+        # (cold, slow, crowded) that turn all away and so are never learned anew; wastes one run at a time
         cost = 0.0 if idle else self._cost(rpc.method) * HOPE
         if self.now + cost >= limit:
             return "late"
@@ -419,14 +419,13 @@
                 sent[client.tenant] = sent.get(client.tenant, 0) + client.arrivals.read(self.now)
         for client in self.clients.values():
             rate, cost = client.arrivals.read(self.now) * 1e6 / SPAN, self._cost(client.method) / 1e6
-            density = client.method.criticality / cost
             inside = 1.0
             if client.tenant is not None and client.tenant.quota_per_s and sent[client.tenant]:
                 quota = client.tenant.quota_per_s / self.set.peers * SPAN / 1e6
                 inside = min(1.0, quota / sent[client.tenant])
-            needs.append((client, rate * cost * inside * 1.2 + 0.01, density, cost))
-            if inside < 1:
-                needs.append((client, rate * cost * (1 - inside) * 1.2, density * self.set.over_share, cost))
+            # what of a tenant's traffic lies beyond its share is not marked: each RPC is worth the mean
+            worth = client.method.criticality * (inside + (1 - inside) * self.set.over_share)
+            needs.append((client, rate * cost * 1.2 + 0.01, worth / cost, cost))
         given = dict.fromkeys(self.clients.values(), 0.0)
         room = self.lim
         while needs and room > 1e-3:
