--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -225,7 +225,7 @@
             return
         unwanted = self._unwanted(rpc)
         if unwanted:
-            yield self._push_back(rpc, last=unwanted == "late")
+            yield self._push_back(rpc, last=unwanted in ("late", "slow", "pressed"))
             return
         if rpc.earlier is not None and rpc.earlier.place == HELD and tokened:
             # the newer try takes the place of the held one: its caller has most likely given the older up
