--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -31,6 +31,7 @@
 UNREAD = 0.05  # share of the shortest target that RPCs lie unread where reading them is what costs
 BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
 RECENT = 1_000_000  # over which unread times are remembered
+AWAY = 0.25  # share of the longest advice that a pressed box gives where even reading costs it
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
 START, DROP, OVERDUE, GONE, AT_CALL, GO, SKIP = "start drop overdue gone at_call go skip".split()
@@ -333,7 +334,9 @@
 
     def _push_back(self, rpc: Rpc, last: bool) -> Action:
         rpc.answered = True
-        span = self.set.longest_advice if self.stuck or self.stop else 0
+        span = self.set.longest_advice
+        if not (self.stuck or self.stop):
+            span = int(span * AWAY) if self.pressed and self._reading_lags() else 0
         return Action(Do.PUSH_BACK, rpc, span, last)
 
     def _age(self, rpc: Rpc) -> int:
