Health off also where cores hang in reading

Such a box cannot answer at all, so what is left there is the callers'. Could harm where checks alone fill the cores.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -132,6 +132,8 @@
             rho = GENEROUS * self.set.cores / len(self.set.methods) / max(1, len(self.set.tenants))
             client = self.clients[rpc.tenant, method] = Client(rpc.tenant, method, rho, now)
         client.arrivals.add(1, now)
+        if not self.places[RUNNING]:
+            self._progress()  # so that cores which hang in reading are seen as well as those which hang in runs
         self.reads.add(1, now)
         self.unread.add(rpc.waited, now)
         rpc.level = client.classify(now)
@@ -199,7 +201,7 @@
         self.lim = max(float(self.set.cores), min(self.lim, self._crowd()))
         self.extra += (max(0.0, crowd - self.places[RUNNING]) - self.extra) * 0.05
         self.pressed = busy >= (LOW if self.pressed else HIGH) and held > 0
-        self._watch_cores()
+        self._watch_cores(crowd)
         self._sweep()
         if now - self.planned > 10 * TICK:
             self.planned = now
@@ -387,9 +389,9 @@
             if not self.stop:
                 self.out.append(Action(Do.HEALTH, flag=True))
 
-    def _watch_cores(self) -> None:
+    def _watch_cores(self, crowd: float) -> None:
         slowest = max(self._cost(m) for m in self.runs)
-        if not self.places[RUNNING]:
+        if not self.places[RUNNING] and crowd < 1:
             self.progress = self.now
         elif not self.stuck and self.now - self.progress > HANG * slowest + 4 * TICK:
             # guards against cores that take work and finish none; harms where single RPCs run this long
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -146,3 +146,10 @@
     box.wait(SECOND, crowd=14.0)
     rpcs = [box.send(waited=waited) for _ in range(16)]
     assert sum(START in box.did(r) for r in rpcs) == most
+
+
+def test_cores_that_hang_in_reading_are_told_until_an_rpc_is_read():
+    box = Box()
+    assert not any(a.do is Do.HEALTH for a in box.wait(2 * SECOND, crowd=0.0))
+    assert any(a.do is Do.HEALTH and not a.flag for a in box.wait(2 * SECOND, crowd=2.0))
+    assert START in box.did(box.send())
