--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -16,7 +16,7 @@
 
 TICK = 50_000  # spacing of the one timer; due answers leave up to one tick early
 SPAN = 4_000_000  # over which arrivals and costs are remembered
-BUCKETS = 3  # n of the cascade
+BUCKETS = 2  # n of the cascade
 WIDER = 1.25  # each outer bucket's rate over the next inner one's
 TAIL = 1.5  # the tail class is due at this multiple of the outermost delta
 GENEROUS = 20.0  # RPCs a second and core before anything was measured
