Clean-up: one way out of a run, dead settings gone, calls under a share below one paced

An RPC that gave up while it waited for the window could still be sent on; a call cut short by the end of its run was not counted as lingering; both with tests. The patience table is bounded.

--- a/hollystage/benchlink/settings.py
+++ b/hollystage/benchlink/settings.py
@@ -24,11 +24,10 @@
 
 def _settings(raw: dict[str, Any]) -> Settings:
     facts, rules, limits = raw["Domain"], raw["Rules"], raw.get("Limits", {})
-    calls, skips = facts.get("ClassCalls", []), facts.get("ClassSkipWorth", [])
+    skips = facts.get("ClassSkipWorth", [])
     methods = [
         Method(kind=KINDS[p["Repeat"]], criticality=float(p["Value"]), latency_target=int(p["PromiseUs"]),
-               deadline=int(p["GiveUpUs"]), late_share=float(p.get("LateShare", 0)),
-               window=int(p.get("WindowUs", 0)), calls=bool(_at(calls, i, False)),
+               deadline=int(p["GiveUpUs"]), window=int(p.get("WindowUs", 0)),
                skip_share=float(_at(skips, i, 0.0)))
         for i, p in enumerate(raw["Profiles"])
     ]
@@ -41,7 +40,6 @@
         cold_from=float(rules.get("ColdFrom", 1)), warm_after=int(rules.get("WarmAfterUs", 0)),
         fall_multiple=float(rules["FallMultiple"]), drain_grace=int(rules["StopSendingWithinUs"]),
         halt=Halt(facts.get("Halt", "none")), say=Say(facts.get("Say", "none")),
-        below=facts.get("DependsOn", "none") != "none", calls_out=float(facts.get("CallsOut", 0)),
-        calls_over=int(facts.get("DepWindowUs", 0)), linger=int(facts.get("StaysForUs", 0)),
+        calls_out=float(facts.get("CallsOut", 0)), linger=int(facts.get("StaysForUs", 0)),
         gauges=[GAUGES.get(name, name) for name in facts.get("Gauges", [])],
         longest_advice=int(limits.get("MaxRetryAfterUs", 0)) if limits.get("RetryAfter") else 0)
--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -31,6 +31,7 @@
 UNREAD = 0.05  # share of the shortest target that RPCs lie unread where reading them is what costs
 BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
 RECENT = 1_000_000  # over which unread times are remembered
+CALLERS = 4096  # first patiences that are remembered at the most
 AWAY = 0.25  # share of the longest advice that a pressed box gives where even reading costs it
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
@@ -110,7 +111,7 @@
         self.window = max(1.0, settings.calls_out / 2)
         self.lingering: list[int] = []
         self.usual_call = 0.0
-        self.cut_at = now
+        self.cut_at = self.next_call = now
         self.out.append(Action(Do.HEALTH, flag=True))
         self.out.append(Action(Do.TIMER, span=1 + self._random(TICK)))
 
@@ -133,7 +134,7 @@
             client = self.clients[rpc.tenant, method] = Client(rpc.tenant, method, rho, now)
         client.arrivals.add(1, now)
         if not self.places[RUNNING]:
-            self._progress()  # so that cores which hang in reading are seen as well as those which hang in runs
+            self._progress()  # so that cores which hang in reading are seen too
         self.reads.add(1, now)
         self.unread.add(rpc.waited, now)
         rpc.level = client.classify(now)
@@ -173,12 +174,14 @@
             # guards the calls below against crowding by all instances, whatever made them slow
             self.window, self.cut_at = max(1.0, self.window * CUT), now
         self.window = min(self.window, max(1.0, self.set.calls_out * 0.9))
+        if 0 < self.set.calls_out < 1:
+            # even one call at a time is more than this share: rest so long that the mean keeps to it
+            self.next_call = now + int(spent * (1 / self.set.calls_out - 1))
         rpc.spent_below += spent
         self._resume(rpc, outcome)
 
     def gone(self, rpc: Rpc, now: int) -> None:
         self.now = now
-        rpc.gone = True
         self._resume(rpc, GONE)
 
     def leaving(self, left: int, now: int) -> None:
@@ -192,14 +195,16 @@
 
     def tick(self, gauges: dict[str, float], now: int) -> None:
         self.now = now
-        busy, crowd = self.busy, _ = gauges.get("cores", 1.0), gauges.get("crowd", 0.0)
+        on_cores = self.places[RUNNING]
+        busy = self.busy = gauges.get("cores", min(1.0, on_cores / self.set.cores))
+        crowd = gauges.get("crowd", float(on_cores))
         held = self.places[HELD]
         if held and busy < HIGH and crowd < self.set.cores and not self.stuck:
             self.lim += 1
         elif not held:
             self.lim -= (self.lim - self.set.cores) * 0.05
         self.lim = max(float(self.set.cores), min(self.lim, self._crowd()))
-        self.extra += (max(0.0, crowd - self.places[RUNNING]) - self.extra) * 0.05
+        self.extra += (max(0.0, crowd - on_cores) - self.extra) * 0.05
         self.pressed = busy >= (LOW if self.pressed else HIGH) and held > 0
         self._watch_cores(crowd)
         self._sweep()
@@ -236,7 +241,8 @@
             self.kept.discard(rpc.earlier)
             self._resume(rpc.earlier, DROP)
         if tokened:
-            self._keep(rpc)
+            self.kept.add(rpc)
+            self._line_up(self.keys, self.now + method.window, rpc)
             yield Action(Do.KEEP, rpc, method.window)
         self._move(rpc, HELD)
         rpc.held_at = self.now
@@ -253,49 +259,39 @@
         self._move(rpc, RUNNING)
         word = yield Action(Do.START, rpc)
         while not isinstance(word, Outcome):
-            if word is AT_CALL:
+            if word is AT_CALL and not rpc.answered:
                 word = yield from self._below(rpc)
-            elif word is GONE:
-                rpc.answered = True
-                stoppable = self.set.halt is Halt.ABORT and method.kind is Kind.IDEMPOTENT
-                word = yield Action(Do.HALT, rpc) if stoppable else None
-            elif word is DROP and method.kind is Kind.IDEMPOTENT:
-                rpc.answered = True
-                word = yield Action(Do.PUSH_BACK, rpc, self.set.longest_advice)
-            else:
-                rpc.answered = True
-                yield_halt = self.set.halt is not Halt.NONE and not tokened
-                self.out.append(Action(Do.ABORT, rpc))
-                word = yield Action(Do.HALT, rpc) if yield_halt else None
+                continue
+            # what ran is pushed back only where it may run again; work is stopped unless a repeat may join it
+            if not rpc.answered and word is not GONE:
+                again = word is DROP and method.kind is Kind.IDEMPOTENT
+                self.out.append(self._push_back(rpc, last=False) if again else Action(Do.ABORT, rpc))
+            rpc.answered = True
+            stoppable = self.set.halt is not Halt.NONE and not tokened and word is not DROP
+            word = yield Action(Do.HALT, rpc) if stoppable else None
 
     def _below(self, rpc: Rpc) -> Generator[Action | None, Any, Any]:
         """The calls of one run; returns the word that ended the wait."""
         method, again = rpc.method, True
-        if rpc.answered:
-            return (yield Action(Do.ABORT, rpc))
         while True:
             word: Any = SKIP
             if again and not (method.skip_share > 0 and self.places[WAITING] >= self.set.cores):
                 self._move(rpc, WAITING)
                 self._line_up(self.waiting, rpc.tag, rpc)
                 word = yield None
-            if word is SKIP and method.skip_share > 0:
-                self._move(rpc, RUNNING)
-                return (yield Action(Do.SKIP, rpc))
             if word is SKIP:
-                rpc.answered = True
-                return (yield Action(Do.ABORT, rpc))
+                self._move(rpc, RUNNING)
+                rpc.answered = not method.skip_share
+                return (yield Action(Do.ABORT if rpc.answered else Do.SKIP, rpc))
             if word is not GO:
                 return word
             self._move(rpc, CALLING)
-            word = yield Action(Do.CALL, rpc, max(TICK, (rpc.target if rpc.target > self.now else rpc.due)
-                                                  - self.now - int(self._cost(method) / 2)))
+            until = rpc.target if rpc.target > self.now else rpc.due
+            word = yield Action(Do.CALL, rpc, max(TICK, until - self.now - int(self._cost(method) / 2)))
             if word is Outcome.OK:
                 self._move(rpc, RUNNING)
                 return (yield None)
-            if word in (OVERDUE, GONE, DROP):
-                return word
-            if word in (Outcome.CANCELLED, Outcome.MOOT):
+            if not isinstance(word, Outcome) or word in (Outcome.CANCELLED, Outcome.MOOT):
                 return word
             # a call is repeated only where it is proven not to have run, or may run again
             unseen = word in (Outcome.FULL, Outcome.CONNECT_FAILED)
@@ -309,17 +305,14 @@
         key = self.set.key_size if rpc.method.kind is Kind.TOKENED else 0
         if self._taken() + rpc.size + key > FULL * self.set.memory:
             return "memory"
-        limit, idle = min(rpc.target, rpc.due), self._idle() and not self.places[HELD]
+        idle = self._idle() and not self.places[HELD]
         # with cores idle it is tried whatever its usual cost: guards against costs learned in a bad moment
         # (cold, slow, crowded) that turn all away and so are never learned anew; wastes one run at a time
-        cost = 0.0 if idle else self._cost(rpc.method) * HOPE
-        if self.now + cost >= limit:
+        if self.now >= min(rpc.target, rpc.due) or not idle and self._hopeless(rpc):
             return "late"
         if self.pressed and rpc.level >= BUCKETS and self.places[HELD]:
             return "pressed"
-        if not idle and self.now + self._wait(rpc.tag) + cost > limit:
-            return "slow"
-        return ""
+        return "slow" if not idle and self._hopeless(rpc, self._wait(rpc.tag)) else ""
 
     def _reading_lags(self) -> bool:
         shortest = min(m.latency_target for m in self.set.methods)
@@ -349,6 +342,8 @@
         if not rpc.patience:
             return 0
         seen, deadline, at = rpc.patience + rpc.waited, rpc.method.deadline, (rpc.caller, rpc.method)
+        if len(self.patience) > CALLERS:
+            self.patience.clear()  # guards the memory where callers come back under new numbers
         first, weight = self.patience.get(at, (seen, 0))
         if not rpc.further:
             weight += 1 if abs(seen - first) < 0.02 * first else -1
@@ -357,6 +352,10 @@
             return max(0, deadline - seen)
         return 0
 
+    def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
+        """Whether what is left before the latency target no longer fits the RPC's usual cost."""
+        return self.now + wait + HOPE * self._cost(rpc.method) > min(rpc.target, rpc.due)
+
     def _cost(self, method: Method) -> float:
         """Usual time on the cores, as it is with the present crowd on them."""
         count, cost = self.runs[method]
@@ -378,10 +377,6 @@
             self.kept.discard(heappop(self.keys)[2])
         return self.memory + len(self.kept) * self.set.key_size
 
-    def _keep(self, rpc: Rpc) -> None:
-        self.kept.add(rpc)
-        self._line_up(self.keys, self.now + rpc.method.window, rpc)
-
     def _progress(self) -> None:
         self.progress = self.now
         if self.stuck:
@@ -398,9 +393,9 @@
             self.stuck = True
             self.out.append(Action(Do.HEALTH, flag=False))
             for _, _, rpc in list(self.dues):
-                if rpc.place == HELD or rpc.place == RUNNING and rpc.method.kind is Kind.IDEMPOTENT:
-                    if not rpc.answered:
-                        self._resume(rpc, DROP)
+                may_again = rpc.place == HELD or rpc.place == RUNNING and rpc.method.kind is Kind.IDEMPOTENT
+                if may_again and not rpc.answered:
+                    self._resume(rpc, DROP)
 
     def _sweep(self) -> None:
         while self.dues and self.dues[0][0] <= self.now + TICK:
@@ -408,11 +403,11 @@
             if not rpc.answered and rpc.place != OVER:
                 self._resume(rpc, OVERDUE)
         for _, _, rpc in self.hold:
-            if rpc.place == HELD and self.now + HOPE * self._cost(rpc.method) > min(rpc.target, rpc.due):
+            if rpc.place == HELD and self._hopeless(rpc):
                 self._resume(rpc, DROP)
         for _, _, rpc in self.waiting:
             left = min(rpc.target, rpc.due) - self.now - self._cost(rpc.method) / 2 - self.usual_call
-            if rpc.place == WAITING and left < 0 and rpc.method.skip_share > 0:
+            if rpc.place == WAITING and not rpc.answered and left < 0 and rpc.method.skip_share > 0:
                 self._resume(rpc, SKIP)
 
     def _plan(self) -> None:
@@ -434,14 +429,13 @@
         given = dict.fromkeys(self.clients.values(), 0.0)
         room = self.lim
         while needs and room > 1e-3:
+            # water-filling by need and the square of criticality for the cost: close to an order where they
+            # differ much, an even share where they hardly do
             total = sum(need * density ** 2 for _, need, density, _ in needs)
-            if total <= 0:
-                break
-            part = min(1 / (density ** 2) for _, _, density, _ in needs)
-            part = min(part, room / total)
+            part = min(room / total, 1 / max(density for _, _, density, _ in needs) ** 2)
             rest = []
             for client, need, density, cost in needs:
-                got = need * min(1.0, part * density ** 2)
+                got = need * part * density ** 2
                 given[client] += got / cost
                 room -= got
                 if need - got > 1e-6:
@@ -458,9 +452,9 @@
         rank = (lambda m: m.criticality) if self.set.say is Say.THRESHOLD else (lambda m: m.latency_target)
         bound = FULL_HOLD * min(self.set.methods, key=rank).latency_target
         # a window or a share keeps off RPCs of every criticality; worth it only where reading them costs much
-        blind = self.set.say is not Say.THRESHOLD and not self._reading_lags()
-        blind = blind and self.extra < BLIND * self.set.cores
-        self.open = max(0.02, self.open * 0.95) if wait > bound and not blind else min(1.0, self.open * 1.03)
+        costly = self._reading_lags() or self.extra > BLIND * self.set.cores
+        less = wait > bound and (costly or self.set.say is Say.THRESHOLD)
+        self.open = max(0.02, self.open * 0.95) if less else min(1.0, self.open * 1.03)
         level = 0.0 if self.stuck or self.stop else self.open
         match self.set.say:
             case Say.THRESHOLD:
@@ -476,6 +470,8 @@
     # Moving RPCs along
 
     def _move(self, rpc: Rpc, place: str) -> None:
+        if rpc.place == CALLING and place == OVER:
+            heappush(self.lingering, self.now + self.set.linger)
         for old, sign in ((rpc.place, -1), (place, 1)):
             if old:
                 self.places[old] += sign
@@ -497,8 +493,6 @@
                 if action is None:
                     return
                 self.out.append(action)
-                if action.do in (Do.START, Do.JOIN, Do.CALL, Do.SKIP, Do.HALT):
-                    return
                 if rpc.place in (RUNNING, CALLING, WAITING, JOINED):
                     return
                 word = None
@@ -511,13 +505,12 @@
             heappop(self.lingering)
         while self.waiting:
             _, _, rpc = self.waiting[0]
-            if rpc.place != WAITING:
-                heappop(self.waiting)
-                continue
-            if self.places[CALLING] + len(self.lingering) >= self.window:
-                break
+            if rpc.place == WAITING and not rpc.answered:
+                if self.places[CALLING] + len(self.lingering) >= self.window or self.now < self.next_call:
+                    break
             heappop(self.waiting)
-            self._resume(rpc, GO)
+            if rpc.place == WAITING and not rpc.answered:
+                self._resume(rpc, GO)
         while self.hold and not self.stuck:
             _, _, rpc = self.hold[0]
             if rpc.place != HELD:
@@ -530,5 +523,4 @@
                 break
             heappop(self.hold)
             idle = rpc.held_at == self.now and self.places[HELD] == 1 and self._idle()
-            late = not idle and self.now + HOPE * self._cost(rpc.method) > min(rpc.target, rpc.due)
-            self._resume(rpc, DROP if late else START)
+            self._resume(rpc, START if idle or not self._hopeless(rpc) else DROP)
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -54,9 +54,7 @@
     criticality: float
     latency_target: int
     deadline: int
-    late_share: float = 0.0
     window: int = 0
-    calls: bool = False
     skip_share: float = 0.0
 
 
@@ -83,9 +81,7 @@
     drain_grace: int = 0
     halt: Halt = Halt.NONE
     say: Say = Say.NONE
-    below: bool = False
     calls_out: float = 0.0
-    calls_over: int = 1_000_000
     linger: int = 0
     gauges: list[str] = field(default_factory=list)
     longest_advice: int = 0
@@ -110,7 +106,6 @@
     place: str = ""
     ran: bool = False
     answered: bool = False
-    gone: bool = False
     spent_below: int = 0
     held_at: int = 0
     began: int = 0
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -27,8 +27,8 @@
 @pytest.mark.parametrize("kind, again", [(Kind.IDEMPOTENT, None), (Kind.TOKENED, None)])
 @pytest.mark.parametrize("state", ["held", "running", "at call"])
 def test_all_that_was_read_is_answered_by_its_due_time(kind, again, state):
-    method = lookup(kind=kind, window=8 * SECOND, calls=True)
-    box = Box(method, below=True, calls_out=2.0)
+    method = lookup(kind=kind, window=8 * SECOND)
+    box = Box(method, calls_out=2.0)
     running = box.fill()
     rpc = box.send() if state == "held" else running[0]
     if state == "at call":
@@ -75,7 +75,7 @@
 
 @pytest.mark.parametrize("cold, most", [(False, 8), (True, 2)])
 def test_crowd_counts_rpcs_back_from_calls(cold, most):
-    box = Box(lookup(calls=True), below=True, calls_out=100.0, cold=cold, cold_from=0.1,
+    box = Box(lookup(), calls_out=100.0, cold=cold, cold_from=0.1,
               warm_after=10 * SECOND)
     for _ in range(20):
         box.at_call(box.send())
@@ -107,7 +107,7 @@
     (Outcome.CONNECT_FAILED, Kind.NON_IDEMPOTENT, 0.0, Do.CALL),
 ])
 def test_a_call_is_repeated_only_where_it_may_be(outcome, kind, share, then):
-    box = Box(lookup(kind=kind, calls=True, skip_share=share, window=SECOND), below=True, calls_out=4.0)
+    box = Box(lookup(kind=kind, skip_share=share, window=SECOND), calls_out=4.0)
     rpc = box.send()
     box.at_call(rpc)
     assert box.call_ends(rpc, outcome)[0].do is then
@@ -153,3 +153,24 @@
     assert not any(a.do is Do.HEALTH for a in box.wait(2 * SECOND, crowd=0.0))
     assert any(a.do is Do.HEALTH and not a.flag for a in box.wait(2 * SECOND, crowd=2.0))
     assert START in box.did(box.send())
+
+
+def test_an_rpc_that_gave_up_waiting_for_the_window_is_not_called_for_later():
+    box = Box(lookup(), calls_out=1.0)
+    first, second = box.fill()
+    box.at_call(first)
+    box.at_call(second)
+    box.gone(second)
+    box.call_ends(first, Outcome.OK)
+    assert Do.CALL in box.did(first) and Do.CALL not in box.did(second)
+
+
+def test_with_a_share_below_one_call_the_mean_keeps_to_it():
+    box = Box(lookup(), calls_out=0.5)
+    first, second = box.fill()
+    box.at_call(first)
+    box.call_ends(first, Outcome.OK, spent=200_000)
+    box.at_call(second)
+    assert Do.CALL not in box.did(second)
+    box.wait(SECOND // 4)
+    assert Do.CALL in box.did(second)
