--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -31,6 +31,7 @@
 UNREAD = 0.05  # share of the shortest target that RPCs lie unread where reading them is what costs
 BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
 RECENT = 1_000_000  # over which unread times are remembered
+FLOOD = 0.7  # share of what is read that is pushed back where callers flood the box
 CALLERS = 4096  # first patiences that are remembered at the most
 AWAY = 0.25  # share of the longest advice that a pressed box gives where even reading costs it
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
@@ -103,7 +104,7 @@
         self.patience: dict[tuple[int, Method], tuple[int, int]] = {}
         self.pressed = self.stuck = False
         self.extra = self.busy = 0.0
-        self.reads, self.unread = Decaying(now, RECENT), Decaying(now, RECENT)
+        self.reads, self.unread, self.turned = (Decaying(now, RECENT) for _ in range(3))
         self.progress = self.planned = now
         self.stop = self.closing = 0
         self.open = 0.3 if settings.cold else 1.0
@@ -233,6 +234,7 @@
             return
         unwanted = self._unwanted(rpc)
         if unwanted:
+            self.turned.add(1, self.now)
             yield self._push_back(rpc, last=unwanted in ("late", "slow", "pressed"))
             return
         if rpc.earlier is not None and rpc.earlier.place == HELD and tokened:
@@ -453,7 +455,9 @@
         bound = FULL_HOLD * min(self.set.methods, key=rank).latency_target
         # a window or a share keeps off RPCs of every criticality; worth it only where reading them costs much
         costly = self._reading_lags() or self.extra > BLIND * self.set.cores
-        less = wait > bound and (costly or self.set.say is Say.THRESHOLD)
+        # a short hold tells nothing where most of what is read bounces
+        flooded = self.turned.read(self.now) > FLOOD * self.reads.read(self.now)
+        less = (wait > bound or flooded) and (costly or self.set.say is Say.THRESHOLD)
         self.open = max(0.02, self.open * 0.95) if less else min(1.0, self.open * 1.03)
         level = 0.0 if self.stuck or self.stop else self.open
         match self.set.say:
