--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -205,7 +205,7 @@
         elif not held:
             self.lim -= (self.lim - self.set.cores) * 0.05
         self.lim = max(float(self.set.cores), min(self.lim, self._crowd()))
-        self.extra += (max(0.0, crowd - on_cores) - self.extra) * 0.05
+        self.extra += (max(0.0, crowd - on_cores) - self.extra) * 0.2
         self.pressed = busy >= (LOW if self.pressed else HIGH) and held > 0
         self._watch_cores(crowd)
         self._sweep()
