--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -31,6 +31,7 @@
 UNREAD = 0.05  # share of the shortest target that RPCs lie unread where reading them is what costs
 BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
 RECENT = 1_000_000  # over which unread times are remembered
+STANDING = 0.1  # share of its target that an RPC of the outermost class must wait to be pushed back
 FLOOD = 0.7  # share of what is read that is pushed back where callers flood the box
 CALLERS = 4096  # first patiences that are remembered at the most
 AWAY = 0.25  # share of the longest advice that a pressed box gives where even reading costs it
@@ -312,7 +313,7 @@
         # (cold, slow, crowded) that turn all away and so are never learned anew; wastes one run at a time
         if self.now >= min(rpc.target, rpc.due) or not idle and self._hopeless(rpc):
             return "late"
-        if self.pressed and rpc.level >= BUCKETS and self.places[HELD]:
+        if self.pressed and rpc.level >= BUCKETS and self._wait(rpc.tag) > STANDING * rpc.method.latency_target:
             return "pressed"
         return "slow" if not idle and self._hopeless(rpc, self._wait(rpc.tag)) else ""
 
