--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -32,6 +32,7 @@
 BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
 RECENT = 1_000_000  # over which unread times are remembered
 STANDING = 0.1  # share of its target that an RPC of the outermost class must wait to be pushed back
+BOUNCED = 0.25  # share of what is read that is pushed back from which callers should not try elsewhere
 FLOOD = 0.7  # share of what is read that is pushed back where callers flood the box
 CALLERS = 4096  # first patiences that are remembered at the most
 AWAY = 0.25  # share of the longest advice that a pressed box gives where even reading costs it
@@ -236,7 +237,9 @@
         unwanted = self._unwanted(rpc)
         if unwanted:
             self.turned.add(1, self.now)
-            yield self._push_back(rpc, last=unwanted in ("late", "slow", "pressed"))
+            # one box under pressure may have idle neighbours; where much bounces they are likely no better off
+            bounced = self.turned.read(self.now) > BOUNCED * self.reads.read(self.now)
+            yield self._push_back(rpc, last=unwanted == "late" or bounced)
             return
         if rpc.earlier is not None and rpc.earlier.place == HELD and tokened:
             # the newer try takes the place of the held one: its caller has most likely given the older up
