--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -40,7 +40,6 @@
 
 START, DROP, OVERDUE, GONE, AT_CALL, GO, SKIP = "start drop overdue gone at_call go skip".split()
 HELD, RUNNING, CALLING, WAITING, JOINED, OVER = "held running calling waiting joined over".split()
-Life = Generator[Action | None, Any, None]
 
 
 class Decaying:
@@ -225,7 +224,7 @@
 
     # One RPC, from top to bottom
 
-    def _life(self, rpc: Rpc) -> Life:
+    def _life(self, rpc: Rpc) -> Generator[Action | None, Any, None]:
         method = rpc.method
         tokened = method.kind is Kind.TOKENED
         if rpc.earlier is not None and rpc.earlier.ran:
@@ -237,7 +236,7 @@
         unwanted = self._unwanted(rpc)
         if unwanted:
             self.turned.add(1, self.now)
-            # one box under pressure may have idle neighbours; where much bounces they are likely no better off
+            # one pressed box may have idle neighbours; where much bounces they are likely no better off
             bounced = self.turned.read(self.now) > BOUNCED * self.reads.read(self.now)
             yield self._push_back(rpc, last=unwanted == "late" or bounced)
             return
@@ -316,9 +315,10 @@
         # (cold, slow, crowded) that turn all away and so are never learned anew; wastes one run at a time
         if self.now >= min(rpc.target, rpc.due) or not idle and self._hopeless(rpc):
             return "late"
-        if self.pressed and rpc.level >= BUCKETS and self._wait(rpc.tag) > STANDING * rpc.method.latency_target:
+        wait = self._wait(rpc.tag)
+        if self.pressed and rpc.level >= BUCKETS and wait > STANDING * rpc.method.latency_target:
             return "pressed"
-        return "slow" if not idle and self._hopeless(rpc, self._wait(rpc.tag)) else ""
+        return "slow" if not idle and self._hopeless(rpc, wait) else ""
 
     def _reading_lags(self) -> bool:
         shortest = min(m.latency_target for m in self.set.methods)
@@ -372,9 +372,7 @@
         return ahead / self.lim
 
     def _crowd(self) -> float:
-        warm = 1.0
-        if self.set.cold and self.set.warm_after:
-            warm = min(1.0, (self.now - self.born) / self.set.warm_after)
+        warm = min(1.0, (self.now - self.born) / max(1, self.set.warm_after)) if self.set.cold else 1.0
         speed = self.set.cold_from + (1 - self.set.cold_from) * warm
         return self.set.cores * max(1.0, HEADROOM * (1 + (self.set.fall_multiple - 1) * speed))
 
@@ -464,13 +462,7 @@
         less = (wait > bound or flooded) and (costly or self.set.say is Say.THRESHOLD)
         self.open = max(0.02, self.open * 0.95) if less else min(1.0, self.open * 1.03)
         level = 0.0 if self.stuck or self.stop else self.open
-        match self.set.say:
-            case Say.THRESHOLD:
-                value = 1 - level
-            case Say.WINDOW:
-                value = level * 4 * self.set.cores
-            case _:
-                value = level
+        value = {Say.THRESHOLD: 1 - level, Say.WINDOW: level * 4 * self.set.cores}.get(self.set.say, level)
         if abs(value - self.said) > 0.03 * max(self.said, 0.1):
             self.said = value
             self.out.append(Action(Do.SAY, value=value))
