--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -25,7 +25,7 @@
 FULL = 0.85  # share of the memory that may be taken by what is held and remembered
 CUT = 0.7  # share that the window on calls keeps after a sign of trouble
 SLOW = 3.0  # a call this many times slower than the usual one is such a sign
-HOPE = 1.0  # share of the usual cost that must still fit before the latency target
+CHOOSY = 1.6  # usual costs that must still fit before the latency target where much bounces; else one
 FULL_HOLD = 0.25  # share of a target that the hold may take up before callers are asked to send less
 READ_FLOOR = 0.5  # share of the cores that runs keep however much is being read
 UNREAD = 0.05  # share of the shortest target that RPCs lie unread where reading them is what costs
@@ -237,8 +237,7 @@
         if unwanted:
             self.turned.add(1, self.now)
             # one pressed box may have idle neighbours; where much bounces they are likely no better off
-            bounced = self.turned.read(self.now) > BOUNCED * self.reads.read(self.now)
-            yield self._push_back(rpc, last=unwanted == "late" or bounced)
+            yield self._push_back(rpc, last=unwanted == "late" or self._bouncing(BOUNCED))
             return
         if rpc.earlier is not None and rpc.earlier.place == HELD and tokened:
             # the newer try takes the place of the held one: its caller has most likely given the older up
@@ -320,6 +319,9 @@
             return "pressed"
         return "slow" if not idle and self._hopeless(rpc, wait) else ""
 
+    def _bouncing(self, share: float) -> bool:
+        return self.turned.read(self.now) > share * self.reads.read(self.now)
+
     def _reading_lags(self) -> bool:
         shortest = min(m.latency_target for m in self.set.methods)
         return self.unread.read(self.now) > UNREAD * shortest * self.reads.read(self.now)
@@ -360,7 +362,9 @@
 
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
-        return self.now + wait + HOPE * self._cost(rpc.method) > min(rpc.target, rpc.due)
+        # where there is work to choose from, what may run into its due time is waste
+        costs = CHOOSY if self._bouncing(BOUNCED) else 1
+        return self.now + wait + costs * self._cost(rpc.method) > min(rpc.target, rpc.due)
 
     def _cost(self, method: Method) -> float:
         """Usual time on the cores, as it is with the present crowd on them."""
@@ -458,8 +462,7 @@
         # a window or a share keeps off RPCs of every criticality; worth it only where reading them costs much
         costly = self._reading_lags() or self.extra > BLIND * self.set.cores
         # a short hold tells nothing where most of what is read bounces
-        flooded = self.turned.read(self.now) > FLOOD * self.reads.read(self.now)
-        less = (wait > bound or flooded) and (costly or self.set.say is Say.THRESHOLD)
+        less = (wait > bound or self._bouncing(FLOOD)) and (costly or self.set.say is Say.THRESHOLD)
         self.open = max(0.02, self.open * 0.95) if less else min(1.0, self.open * 1.03)
         level = 0.0 if self.stuck or self.stop else self.open
         value = {Say.THRESHOLD: 1 - level, Say.WINDOW: level * 4 * self.set.cores}.get(self.set.say, level)
