The window on calls goes under one, kept by a rest after each call

Also guards any dependency that slows in a crowd; could leave one idle that is slow for other reasons.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -23,6 +23,7 @@
 HIGH, LOW = 0.95, 0.85  # marks of the core gauge for pushbacks of the outermost class
 HEADROOM = 0.8  # share of the deadly crowd that may run, calls included
 FULL = 0.85  # share of the memory that may be taken by what is held and remembered
+LEAST, MOST = 0.1, 0.9  # bounds of that window, as shares of what this server may have in hand below
 CUT = 0.7  # share that the window on calls keeps after a sign of trouble
 SLOW = 3.0  # a call this many times slower than the usual one is such a sign
 CHOOSY = 1.6  # usual costs that must still fit before the latency target where much bounces; else one
@@ -110,7 +111,7 @@
         self.stop = self.closing = 0
         self.open = 0.3 if settings.cold else 1.0
         self.said = -1.0
-        self.window = max(1.0, settings.calls_out / 2)
+        self.window = settings.calls_out / 2
         self.lingering: list[int] = []
         self.usual_call = 0.0
         self.cut_at = self.next_call = now
@@ -167,18 +168,18 @@
             gain = 0.02 if spent > self.usual_call else 0.2
             self.usual_call += (spent - self.usual_call) * (gain if self.usual_call else 1)
             if not slow:
-                self.window += 1 / self.window
+                self.window += min(self.window, 1 / self.window)
         else:
             slow = outcome != Outcome.CANCELLED
             if outcome == Outcome.TIMEOUT:
                 heappush(self.lingering, now + self.set.linger)
         if slow and now - self.cut_at > self.usual_call:
             # guards the calls below against crowding by all instances, whatever made them slow
-            self.window, self.cut_at = max(1.0, self.window * CUT), now
-        self.window = min(self.window, max(1.0, self.set.calls_out * 0.9))
-        if 0 < self.set.calls_out < 1:
-            # even one call at a time is more than this share: rest so long that the mean keeps to it
-            self.next_call = now + int(spent * (1 / self.set.calls_out - 1))
+            self.window, self.cut_at = self.window * CUT, now
+        share = max(0.01, self.set.calls_out)
+        self.window = max(share * LEAST, min(self.window, share * MOST))
+        # where even one call at a time is more than the window: rest so long that the mean keeps to it
+        self.next_call = now + int(spent * (1 / self.window - 1)) if self.window < 1 else now
         rpc.spent_below += spent
         self._resume(rpc, outcome)
 
@@ -509,7 +510,8 @@
         while self.waiting:
             _, _, rpc = self.waiting[0]
             if rpc.place == WAITING and not rpc.answered:
-                if self.places[CALLING] + len(self.lingering) >= self.window or self.now < self.next_call:
+                open_calls = self.places[CALLING] + len(self.lingering)
+                if open_calls >= max(self.window, 1) or self.now < self.next_call:
                     break
             heappop(self.waiting)
             if rpc.place == WAITING and not rpc.answered:
