--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -466,7 +466,7 @@
         less = (wait > bound or self._bouncing(FLOOD)) and (costly or self.set.say is Say.THRESHOLD)
         self.open = max(0.02, self.open * 0.95) if less else min(1.0, self.open * 1.03)
         level = 0.0 if self.stuck or self.stop else self.open
-        value = {Say.THRESHOLD: 1 - level, Say.WINDOW: level * 4 * self.set.cores}.get(self.set.say, level)
+        value = {Say.THRESHOLD: 1 - level, Say.WINDOW: level * self.set.cores}.get(self.set.say, level)
         if abs(value - self.said) > 0.03 * max(self.said, 0.1):
             self.said = value
             self.out.append(Action(Do.SAY, value=value))
