--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -20,6 +20,7 @@
 WIDER = 1.25  # each outer bucket's rate over the next inner one's
 TAIL = 1.5  # the tail class is due at this multiple of the outermost delta
 GENEROUS = 20.0  # RPCs a second and core before anything was measured
+FORGET = 0.3  # weight of a generous run in the usual cost
 HIGH, LOW = 0.95, 0.85  # marks of the core gauge for pushbacks of the outermost class
 HEADROOM = 0.8  # share of the deadly crowd that may run, calls included
 FULL = 0.85  # share of the memory that may be taken by what is held and remembered
@@ -98,24 +99,20 @@
         self.waiting: list[tuple[int, int, Rpc]] = []
         self.keys: list[tuple[int, int, Rpc]] = []
         self.kept: set[Rpc] = set()
-        self.count = 0
         self.places = dict.fromkeys((HELD, RUNNING, CALLING, WAITING, JOINED, OVER), 0)
-        self.memory = 0.0
+        self.memory = self.extra = self.busy = self.usual_call = 0.0
         self.lim = float(settings.cores)
         self.clients: dict[tuple[Tenant | None, Method], Client] = {}
         self.runs = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
         self.patience: dict[tuple[int, Method], tuple[int, int]] = {}
         self.pressed = self.stuck = False
-        self.extra = self.busy = 0.0
         self.reads, self.unread, self.turned = (Decaying(now, RECENT) for _ in range(3))
-        self.progress = self.planned = now
-        self.stop = self.closing = 0
+        self.progress = self.planned = self.freed = self.cut_at = self.next_call = now
+        self.stop = self.closing = self.count = 0
         self.open = 0.3 if settings.cold else 1.0
         self.said = -1.0
         self.window = settings.calls_out / 2
         self.lingering: list[int] = []
-        self.usual_call = 0.0
-        self.cut_at = self.next_call = now
         self.out.append(Action(Do.HEALTH, flag=True))
         self.out.append(Action(Do.TIMER, span=1 + self._random(TICK)))
 
@@ -150,7 +147,8 @@
     def finished(self, rpc: Rpc, outcome: Outcome, spent: int, now: int) -> None:
         self.now = now
         self._progress()
-        if rpc.place == RUNNING and outcome == Outcome.OK:
+        # what stood on hung cores tells nothing about the cost of a run
+        if rpc.place == RUNNING and outcome == Outcome.OK and rpc.began >= self.freed:
             count, cost = self.runs[rpc.method]
             count.add(1, now)
             cost.add(max(1, now - rpc.began - rpc.spent_below), now)
@@ -370,8 +368,9 @@
 
     def _cost(self, method: Method) -> float:
         """Usual time on the cores, as it is with the present crowd on them."""
-        count, cost = self.runs[method]
-        return cost.sum / count.sum if count.sum > 0.5 else 1e6 / GENEROUS
+        count, cost = (total.read(self.now) for total in self.runs[method])
+        # part of a generous run is mixed in: what is not run for a while is forgotten and tried again
+        return (cost + FORGET * 1e6 / GENEROUS) / (count + FORGET)
 
     def _wait(self, tag: int) -> float:
         ahead = sum(self._cost(rpc.method) for t, _, rpc in self.hold if t <= tag and rpc.place == HELD)
@@ -390,7 +389,7 @@
     def _progress(self) -> None:
         self.progress = self.now
         if self.stuck:
-            self.stuck = False
+            self.stuck, self.freed = False, self.now
             if not self.stop:
                 self.out.append(Action(Do.HEALTH, flag=True))
 
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -174,3 +174,25 @@
     assert Do.CALL not in box.did(second)
     box.wait(SECOND // 4)
     assert Do.CALL in box.did(second)
+
+
+def test_a_cost_that_is_not_renewed_is_forgotten_even_while_other_methods_fill_the_cores():
+    quick, slow = lookup(latency_target=8 * SECOND), lookup(latency_target=SECOND)
+    box = Box(quick, slow)
+    rpc = box.send(slow)
+    box.now += 3 * SECOND
+    box.end(rpc)
+    box.wait(SECOND // 20)
+    box.fill(quick)
+    assert box.did(box.send(slow)) == [PUSH_BACK]
+    box.now += 20 * SECOND
+    assert box.did(box.send(slow)) == []
+
+
+def test_runs_on_hung_cores_do_not_count_as_costs():
+    box = Box()
+    running = box.fill()
+    box.wait(3 * SECOND)
+    for rpc in running:
+        box.end(rpc)
+    assert box.control._cost(box.methods[0]) < SECOND // 10
