--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -107,6 +107,7 @@
         self.patience: dict[tuple[int, Method], tuple[int, int]] = {}
         self.pressed = self.stuck = False
         self.reads, self.unread, self.turned = (Decaying(now, RECENT) for _ in range(3))
+        self.least = min(m.criticality for m in settings.methods)
         self.progress = self.planned = self.freed = self.cut_at = self.next_call = now
         self.stop = self.closing = self.count = 0
         self.open = 0.3 if settings.cold else 1.0
@@ -362,8 +363,9 @@
 
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
-        # where there is work to choose from, what may run into its due time is waste
-        costs = CHOOSY if self._bouncing(BOUNCED) else 1
+        # where there is work to choose from, what of the least critical may run into its due time is waste
+        choose = rpc.method.criticality <= self.least and self._bouncing(BOUNCED)
+        costs = CHOOSY if choose else 1
         return self.now + wait + costs * self._cost(rpc.method) > min(rpc.target, rpc.due)
 
     def _cost(self, method: Method) -> float:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -196,3 +196,16 @@
     for rpc in running:
         box.end(rpc)
     assert box.control._cost(box.methods[0]) < SECOND // 10
+
+
+@pytest.mark.parametrize("critical, runs", [(True, True), (False, False)])
+def test_while_much_bounces_only_the_least_critical_need_more_than_their_cost(critical, runs):
+    box = Box(lookup(latency_target=SECOND), booking(latency_target=SECOND))
+    method = box.methods[critical]
+    rpc = box.send(method)
+    box.now += 800_000
+    box.end(rpc)
+    for _ in range(9):
+        box.send(waited=2 * SECOND)
+    box.wait(1, cores=1.0)
+    assert (START in box.did(box.send(method))) == runs
