--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -110,8 +110,7 @@
         self.least = min(m.criticality for m in settings.methods)
         self.progress = self.planned = self.freed = self.cut_at = self.next_call = now
         self.stop = self.closing = self.count = 0
-        self.open = 0.3 if settings.cold else 1.0
-        self.said = -1.0
+        self.open, self.said = 0.3 if settings.cold else 1.0, -1.0
         self.window = settings.calls_out / 2
         self.lingering: list[int] = []
         self.out.append(Action(Do.HEALTH, flag=True))
@@ -140,7 +139,9 @@
         self.reads.add(1, now)
         self.unread.add(rpc.waited, now)
         rpc.level = client.classify(now)
-        rpc.tag = read_at + client.deltas[rpc.level - 1]
+        # class spacing: the more critical a method, the sooner its first class is due
+        ahead = (self.least / method.criticality) ** 0.5 if rpc.level == 1 and method.criticality else 1
+        rpc.tag = read_at + int(client.deltas[rpc.level - 1] * ahead)
         self._line_up(self.dues, rpc.due, rpc)
         rpc.life = self._life(rpc)
         self._resume(rpc, None)
@@ -364,8 +365,7 @@
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
         # where there is work to choose from, what of the least critical may run into its due time is waste
-        choose = rpc.method.criticality <= self.least and self._bouncing(BOUNCED)
-        costs = CHOOSY if choose else 1
+        costs = CHOOSY if rpc.method.criticality <= self.least and self._bouncing(BOUNCED) else 1
         return self.now + wait + costs * self._cost(rpc.method) > min(rpc.target, rpc.due)
 
     def _cost(self, method: Method) -> float:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,6 +14,14 @@
     assert client.classify(SECOND) == 1
 
 
+def test_of_rpcs_due_alike_the_more_critical_starts_first():
+    box = Box(lookup(), lookup(criticality=4.0))
+    running = box.fill()
+    plain, critical = box.send(), box.send(box.methods[1])
+    box.end(running[0])
+    assert box.did(plain) == [] and box.did(critical) == [START] and critical.tag == box.now + SECOND
+
+
 @pytest.mark.parametrize("first, second", [(1, 3), (3, 1)])
 def test_smallest_finish_tag_starts_first(first, second):
     methods = [lookup(latency_target=n * SECOND) for n in (1, 2, 3)]
