--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -126,6 +126,7 @@
     SAY = 11
     TIMER = 12
     LOG = 13
+    IDLE = 14
 
 
 class Action(NamedTuple):
