No change: closing idle connections early did not help; undone

Expected little: tables stay nearly empty (three to twelve connections of 220 or more). The callers' own limit stays.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -114,7 +114,6 @@
         self.window = settings.calls_out / 2
         self.lingering: list[int] = []
         self.out.append(Action(Do.HEALTH, flag=True))
-        self.out.append(Action(Do.IDLE, span=5_000_000))
         self.out.append(Action(Do.TIMER, span=1 + self._random(TICK)))
 
     def _random(self, below: int) -> int:
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -126,7 +126,6 @@
     SAY = 11
     TIMER = 12
     LOG = 13
-    IDLE = 14
 
 
 class Action(NamedTuple):
