Costs without the time spent waiting for the window; dead fields and the unused log action gone

Cause: found in review: a run's usual cost held its wait for the window on calls, though it is off the cores there.

--- a/hollystage/benchlink/host.py
+++ b/hollystage/benchlink/host.py
@@ -78,8 +78,6 @@
                 reply.add("Hf", 10, number, action.value)
             case Do.TIMER:
                 reply.add("HIQ", 14, number, action.span, 0)
-            case Do.LOG:
-                reply.add_text(11, number, action.text)
 
 
 class Host:
--- a/hollystage/benchlink/settings.py
+++ b/hollystage/benchlink/settings.py
@@ -35,7 +35,7 @@
         methods=methods, cores=int(facts["Cores"]), memory=float(facts["RamKb"]),
         run_factor=float(facts["RunFactor"]), key_size=float(facts.get("KeyKb", 0)),
         tenants=[Tenant(float(t.get("QuotaPerS", 0))) for t in raw.get("Tenants") or []],
-        peers=int(raw.get("PeersTotal", 1)), callers=int(facts.get("Upstreams", 1)),
+        peers=int(raw.get("PeersTotal", 1)),
         over_share=float(raw.get("OverShareWorth", 1)), cold=bool(facts.get("Cold", False)),
         cold_from=float(rules.get("ColdFrom", 1)), warm_after=int(rules.get("WarmAfterUs", 0)),
         fall_multiple=float(rules["FallMultiple"]), drain_grace=int(rules["StopSendingWithinUs"]),
--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -150,10 +150,10 @@
         self.now = now
         self._progress()
         # what stood on hung cores tells nothing about the cost of a run
-        if rpc.place == RUNNING and outcome == Outcome.OK and rpc.began >= self.freed:
+        if rpc.place == RUNNING and outcome == Outcome.OK and now - spent >= self.freed:
             count, cost = self.runs[rpc.method]
             count.add(1, now)
-            cost.add(max(1, now - rpc.began - rpc.spent_below), now)
+            cost.add(max(1, spent - rpc.off_cores), now)
         self._resume(rpc, outcome)
 
     def at_call(self, rpc: Rpc, now: int) -> None:
@@ -181,7 +181,6 @@
         self.window = max(share * LEAST, min(self.window, share * MOST))
         # where even one call at a time is more than the window: rest so long that the mean keeps to it
         self.next_call = now + int(spent * (1 / self.window - 1)) if self.window < 1 else now
-        rpc.spent_below += spent
         self._resume(rpc, outcome)
 
     def gone(self, rpc: Rpc, now: int) -> None:
@@ -251,7 +250,6 @@
             self._line_up(self.keys, self.now + method.window, rpc)
             yield Action(Do.KEEP, rpc, method.window)
         self._move(rpc, HELD)
-        rpc.held_at = self.now
         self._line_up(self.hold, rpc.tag, rpc)
         word = yield None
         if word is not START:
@@ -261,7 +259,7 @@
             if word is not GONE:
                 yield self._push_back(rpc, last=True)
             return
-        rpc.ran, rpc.began = True, self.now
+        rpc.ran = True
         self._move(rpc, RUNNING)
         word = yield Action(Do.START, rpc)
         while not isinstance(word, Outcome):
@@ -477,6 +475,8 @@
     # Moving RPCs along
 
     def _move(self, rpc: Rpc, place: str) -> None:
+        if rpc.place in (WAITING, CALLING):
+            rpc.off_cores += self.now - rpc.since
         if rpc.place == CALLING and place == OVER:
             heappush(self.lingering, self.now + self.set.linger)
         for old, sign in ((rpc.place, -1), (place, 1)):
@@ -484,7 +484,7 @@
                 self.places[old] += sign
                 weight = self.set.run_factor if old in (RUNNING, CALLING, WAITING) else old != OVER
                 self.memory += sign * weight * rpc.size
-        rpc.place = place
+        rpc.place, rpc.since = place, self.now
 
     def _line_up(self, line: list[tuple[int, int, Rpc]], at: int, rpc: Rpc) -> None:
         self.count += 1
@@ -504,7 +504,7 @@
                     return
                 word = None
         except StopIteration:
-            rpc.life, rpc.answered = None, True
+            rpc.life, rpc.answered, rpc.earlier = None, True, None
             self._move(rpc, OVER)
 
     def _pump(self) -> None:
@@ -530,5 +530,5 @@
             if self._taken() + rpc.size * (self.set.run_factor - 1) > self.set.memory * 0.95:
                 break
             heappop(self.hold)
-            idle = rpc.held_at == self.now and self.places[HELD] == 1 and self._idle()
+            idle = rpc.since == self.now and self.places[HELD] == 1 and self._idle()
             self._resume(rpc, START if idle or not self._hopeless(rpc) else DROP)
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -72,7 +72,6 @@
     key_size: float = 0.0
     tenants: list[Tenant] = field(default_factory=list)
     peers: int = 1
-    callers: int = 1
     over_share: float = 1.0
     cold: bool = False
     cold_from: float = 1.0
@@ -106,9 +105,8 @@
     place: str = ""
     ran: bool = False
     answered: bool = False
-    spent_below: int = 0
-    held_at: int = 0
-    began: int = 0
+    since: int = 0
+    off_cores: int = 0
     life: Generator[Any, Any, None] | None = None
 
 
@@ -125,7 +123,6 @@
     HEALTH = 10
     SAY = 11
     TIMER = 12
-    LOG = 13
 
 
 class Action(NamedTuple):
@@ -136,4 +133,3 @@
     span: int = 0
     flag: bool = False
     value: float = 0.0
-    text: str = ""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -23,12 +23,13 @@
             "longest_advice": SECOND, "gauges": ["cores", "crowd"]} | changes)
         self.now = 10 * SECOND
         self.control = Control(self.settings, 7, self.now)
-        self.log = []
+        self.log, self.started = [], {}
         self.flush()
 
     def flush(self):
         new = [a for a in self.control.decide(self.now) if a.do is not Do.TIMER]
         self.log += new
+        self.started |= {a.rpc: self.now for a in new if a.do is Do.START}
         return new
 
     def send(self, method=None, patience=0, **fields):
@@ -42,8 +43,8 @@
         """Occupies the cores, so that what comes next is held."""
         return [self.send(method) for _ in range(many or self.settings.cores)]
 
-    def end(self, rpc, outcome=Outcome.OK, spent=1000):
-        self.control.finished(rpc, outcome, spent, self.now)
+    def end(self, rpc, outcome=Outcome.OK):
+        self.control.finished(rpc, outcome, self.now - self.started.get(rpc, self.now), self.now)
         return self.flush()
 
     def call_ends(self, rpc, outcome, spent=1000):
