--- a/hollystage/benchlink/frames.py
+++ b/hollystage/benchlink/frames.py
@@ -60,7 +60,11 @@
 
 
 class Reply:
-    """Collects the actions of one batch."""
+    """Collects the actions of one batch.
+
+    >>> Reply().encode().hex()
+    '0000000400000000'
+    """
 
     def __init__(self) -> None:
         self.records: list[bytes] = []
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -33,8 +33,8 @@
         return new
 
     def send(self, method=None, patience=0, **fields):
-        rpc = Rpc(method or self.methods[0], fields.pop("caller", 1), None, fields.pop("size", 10.0),
-                  patience, **fields)
+        rpc = Rpc(method or self.methods[0], fields.pop("caller", 1), fields.pop("tenant", None),
+                  fields.pop("size", 10.0), patience, **fields)
         self.control.arrived(rpc, self.now)
         self.flush()
         return rpc
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,7 +2,7 @@
 from helpers import SECOND, Box, booking, lookup
 
 from hollystage.control import BUCKETS, Client
-from hollystage.interface import Do, Kind, Outcome
+from hollystage.interface import Do, Halt, Kind, Outcome, Say, Tenant
 
 START, PUSH_BACK, ABORT, HALT, JOIN, KEEP = Do.START, Do.PUSH_BACK, Do.ABORT, Do.HALT, Do.JOIN, Do.KEEP
 
@@ -217,3 +217,71 @@
         box.send(waited=2 * SECOND)
     box.wait(1, cores=1.0)
     assert (START in box.did(box.send(method))) == runs
+
+
+@pytest.mark.parametrize("memory, held, started", [(10_000.0, 6, 2), (150.0, 4, 1), (60.0, 5, 0)])
+def test_memory_bounds_what_is_held_and_what_is_started(memory, held, started):
+    box = Box(memory=memory)
+    rpcs = [box.send() for _ in range(8)]
+    assert sum(START in box.did(r) for r in rpcs) == started
+    assert box.control.places["held"] == held
+
+
+@pytest.mark.parametrize("halt, ends", [
+    (Halt.NONE, [ABORT]), (Halt.ABORT, [ABORT, HALT]), (Halt.SUSPEND, [ABORT, HALT]),
+])
+def test_work_past_its_due_time_is_stopped_where_the_site_can(halt, ends):
+    box = Box(lookup(kind=Kind.NON_IDEMPOTENT), halt=halt)
+    rpc = box.send()
+    box.wait(6 * SECOND)
+    assert box.did(rpc) == [START, *ends]
+
+
+@pytest.mark.parametrize("say, calm, narrowed", [
+    (Say.THRESHOLD, 0.0, lambda value: value > 0.3), (Say.WINDOW, 8.0, lambda value: value < 2.0),
+    (Say.SHARE, 1.0, lambda value: value < 0.7),
+])
+def test_each_free_value_tells_callers_to_send_less_while_the_hold_is_long(say, calm, narrowed):
+    box = Box(lookup(latency_target=SECOND), say=say)
+    assert [a.value for a in box.wait(SECOND // 20) if a.do is Do.SAY] == [calm]
+    running = box.fill()
+    for _ in range(40):
+        for _ in range(8):
+            box.send(waited=200_000)
+        box.wait(SECOND // 20)
+        box.end(running.pop())
+        running = [rpc for rpc in box.started if rpc.place == "running"]
+    assert narrowed([a.value for a in box.log if a.do is Do.SAY][-1]) and not box.control.stuck
+
+
+def test_abandoned_calls_are_counted_while_they_linger():
+    box = Box(lookup(skip_share=0.3), calls_out=1.0, linger=SECOND // 2)
+    first, second = box.fill()
+    box.at_call(first)
+    box.call_ends(first, Outcome.TIMEOUT)
+    box.at_call(second)
+    assert Do.CALL not in box.did(second)
+    box.wait(SECOND)
+    assert Do.CALL in box.did(second)
+
+
+def test_pressure_pushes_back_the_outermost_class_until_the_lower_mark():
+    box = Box()
+    box.fill()
+    held = [box.send() for _ in range(20)]
+    box.control.clients[None, box.methods[0]].tokens[0] = -100.0
+    assert PUSH_BACK not in box.did(held[-1])
+    for cores, pushed in [(0.9, False), (0.96, True), (0.9, True), (0.8, False)]:
+        box.wait(1, cores=cores)
+        assert (PUSH_BACK in box.did(box.send())) == pushed
+
+
+def test_a_tenant_past_its_share_gets_a_smaller_rate_for_a_method():
+    inside, beyond = Tenant(1000.0), Tenant(0.5)
+    box = Box(tenants=[inside, beyond], over_share=0.1)
+    for _ in range(300):
+        for tenant in (inside, beyond):
+            box.send(tenant=tenant)
+    box.control._plan()
+    rates = [box.control.clients[tenant, box.methods[0]].rho for tenant in (inside, beyond)]
+    assert rates[0] > 3 * rates[1] > 0
