--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Generator
-from heapq import heapify, heappop, heappush
+from heapq import heappop, heappush
 from math import exp
 from typing import Any
 
@@ -192,8 +192,7 @@
         self.stop, self.closing = now + left, now + self.set.drain_grace
         for _, _, rpc in self.dues:
             rpc.due = min(rpc.due, self.stop - 3 * TICK)
-        self.dues = [(rpc.due, n, rpc) for _, n, rpc in self.dues]
-        heapify(self.dues)
+        self.dues = sorted((rpc.due, n, rpc) for _, n, rpc in self.dues)
         self.out.append(Action(Do.HEALTH, flag=False))
 
     def tick(self, gauges: dict[str, float], now: int) -> None:
@@ -394,10 +393,9 @@
                 self.out.append(Action(Do.HEALTH, flag=True))
 
     def _watch_cores(self, crowd: float) -> None:
-        slowest = max(self._cost(m) for m in self.runs)
         if not self.places[RUNNING] and crowd < 1:
             self.progress = self.now
-        elif not self.stuck and self.now - self.progress > HANG * slowest + 4 * TICK:
+        elif not self.stuck and self.now - self.progress > HANG * max(map(self._cost, self.runs)) + 4 * TICK:
             # guards against cores that take work and finish none; harms where single RPCs run this long
             self.stuck = True
             self.out.append(Action(Do.HEALTH, flag=False))
@@ -467,7 +465,9 @@
         self.open = max(0.02, self.open * 0.95) if less else min(1.0, self.open * 1.03)
         level = 0.0 if self.stuck or self.stop else self.open
         window = level * self.set.cores * (NARROW if self._reading_lags() else WIDE)
-        value = {Say.THRESHOLD: 1 - level, Say.WINDOW: window}.get(self.set.say, level)
+        # ranks lie in one equal band a method: the most critical method's is left to our own pushbacks
+        top = 1 - 1 / len(self.set.methods) if level else 1.0
+        value = {Say.THRESHOLD: min(top, 1 - level), Say.WINDOW: window}.get(self.set.say, level)
         if abs(value - self.said) > 0.03 * max(self.said, 0.1):
             self.said = value
             self.out.append(Action(Do.SAY, value=value))
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -238,11 +238,11 @@
 
 
 @pytest.mark.parametrize("say, calm, narrowed", [
-    (Say.THRESHOLD, 0.0, lambda value: value > 0.3), (Say.WINDOW, 8.0, lambda value: value < 2.0),
+    (Say.THRESHOLD, 0.0, lambda value: 0.3 < value <= 0.5), (Say.WINDOW, 8.0, lambda value: value < 2.0),
     (Say.SHARE, 1.0, lambda value: value < 0.7),
 ])
 def test_each_free_value_tells_callers_to_send_less_while_the_hold_is_long(say, calm, narrowed):
-    box = Box(lookup(latency_target=SECOND), say=say)
+    box = Box(lookup(latency_target=SECOND), booking(latency_target=SECOND), say=say)
     assert [a.value for a in box.wait(SECOND // 20) if a.do is Do.SAY] == [calm]
     running = box.fill()
     for _ in range(40):
