--- a/hollystage/benchlink/host.py
+++ b/hollystage/benchlink/host.py
@@ -78,6 +78,8 @@
                 reply.add("Hf", 10, number, action.value)
             case Do.TIMER:
                 reply.add("HIQ", 14, number, action.span, 0)
+            case Do.IDLE:
+                reply.add("HI", 1, number, action.span)
 
 
 class Host:
--- a/hollystage/benchlink/settings.py
+++ b/hollystage/benchlink/settings.py
@@ -42,4 +42,5 @@
         halt=Halt(facts.get("Halt", "none")), say=Say(facts.get("Say", "none")),
         calls_out=float(facts.get("CallsOut", 0)), linger=int(facts.get("StaysForUs", 0)),
         gauges=[GAUGES.get(name, name) for name in facts.get("Gauges", [])],
-        longest_advice=int(limits.get("MaxRetryAfterUs", 0)) if limits.get("RetryAfter") else 0)
+        longest_advice=int(limits.get("MaxRetryAfterUs", 0)) if limits.get("RetryAfter") else 0,
+        longest_idle=int(facts.get("IdleUs", 0)))
--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -37,7 +37,8 @@
 STANDING = 0.1  # share of its target that an RPC of the outermost class must wait to be pushed back
 BOUNCED = 0.25  # share of what is read that is pushed back from which callers should not try elsewhere
 FLOOD = 0.7  # share of what is read that is pushed back where callers flood the box
-CALLERS = 4096  # first patiences that are remembered at the most
+CALLERS = 4096  # callers that are remembered at the most
+SHORTEST = 100_000  # shortest idle limit of connections
 AWAY = 0.25  # share of the longest advice that a pressed box gives where even reading costs it
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
@@ -106,6 +107,11 @@
         self.runs = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
         self.patience: dict[tuple[int, Method], tuple[int, int]] = {}
         self.pressed = self.stuck = False
+        self.seen: dict[int, int] = {}
+        self.met, self.known = (Decaying(now, max(SPAN, settings.longest_idle)) for _ in range(2))
+        self.met.add(1, now)
+        self.known.add(1, now)
+        self.idle = settings.longest_idle
         self.reads, self.unread, self.turned = (Decaying(now, RECENT) for _ in range(3))
         self.least = min(m.criticality for m in settings.methods)
         self.progress = self.planned = self.freed = self.cut_at = self.next_call = now
@@ -137,6 +143,11 @@
         if not self.places[RUNNING]:
             self._progress()  # so that cores which hang in reading are seen too
         self.reads.add(1, now)
+        self.met.add(1, now)
+        self.known.add(now - self.seen.get(rpc.caller, -self.set.longest_idle) < self.set.longest_idle, now)
+        if len(self.seen) > CALLERS:
+            self.seen.clear()  # guards the memory where callers come back under new numbers
+        self.seen[rpc.caller] = now
         self.unread.add(rpc.waited, now)
         rpc.level = client.classify(now)
         # class spacing: the more critical a method, the sooner its first class is due
@@ -213,6 +224,7 @@
         if now - self.planned > 10 * TICK:
             self.planned = now
             self._plan()
+            self._idle_limit()
         self._say()
         self.out.append(Action(Do.TIMER, span=TICK))
 
@@ -451,6 +463,15 @@
         for client, rho in given.items():
             client.rho = rho * (1 + max(0.0, room) / self.lim)
 
+    def _idle_limit(self) -> None:
+        # guards the table of connections against more callers than it holds: where few RPCs come from a caller
+        # that was here lately, a kept connection is seldom used again; harms where such callers come in spells
+        share = self.known.read(self.now) / self.met.read(self.now)
+        span = max(SHORTEST, int(self.set.longest_idle * share ** 4))
+        if self.set.longest_idle and abs(span - self.idle) > 0.2 * self.idle:
+            self.idle = span
+            self.out.append(Action(Do.IDLE, span=span))
+
     def _say(self) -> None:
         if self.set.say is Say.NONE:
             return
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -84,6 +84,7 @@
     linger: int = 0
     gauges: list[str] = field(default_factory=list)
     longest_advice: int = 0
+    longest_idle: int = 0
 
 
 @dataclass(slots=True, eq=False)
@@ -123,10 +124,11 @@
     HEALTH = 10
     SAY = 11
     TIMER = 12
+    IDLE = 13
 
 
 class Action(NamedTuple):
-    """`span` is an advice, a time-out, a life in the table or a timer, by what is done."""
+    """`span` is an advice, a time-out, a life in the table, a timer or an idle limit, by what is done."""
 
     do: Do
     rpc: Rpc | None = None
