--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -38,6 +38,7 @@
 BOUNCED = 0.25  # share of what is read that is pushed back from which callers should not try elsewhere
 FLOOD = 0.7  # share of what is read that is pushed back where callers flood the box
 CALLERS = 4096  # callers that are remembered at the most
+BINS, COMMON = 50, 0.125  # steps of patiences; share of tries with one from which it is a first try's
 SHORTEST = 100_000  # shortest idle limit of connections
 AWAY = 0.25  # share of the longest advice that a pressed box gives where even reading costs it
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
@@ -105,7 +106,7 @@
         self.lim = float(settings.cores)
         self.clients: dict[tuple[Tenant | None, Method], Client] = {}
         self.runs = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
-        self.patience: dict[tuple[int, Method], tuple[int, int]] = {}
+        self.firsts = {m: [0.0] * (BINS + 1) for m in settings.methods}
         self.pressed = self.stuck = False
         self.seen: dict[int, int] = {}
         self.met, self.known = (Decaying(now, max(SPAN, settings.longest_idle)) for _ in range(2))
@@ -356,20 +357,18 @@
     def _age(self, rpc: Rpc) -> int:
         """How long the client has waited already, as far as the patience that came with this try tells.
 
-        A caller gives its first tries one fixed patience and later ones all that is left of the deadline.
+        Callers give first tries one of a few fixed patiences, as shares of the deadline, and later ones all
+        that is left. They are learned over all callers: each may be seen here once only.
         """
         if not rpc.patience:
             return 0
-        seen, deadline, at = rpc.patience + rpc.waited, rpc.method.deadline, (rpc.caller, rpc.method)
-        if len(self.patience) > CALLERS:
-            self.patience.clear()  # guards the memory where callers come back under new numbers
-        first, weight = self.patience.get(at, (seen, 0))
+        seen, deadline, firsts = rpc.patience + rpc.waited, rpc.method.deadline, self.firsts[rpc.method]
+        at = min(BINS, BINS * seen // deadline)
         if not rpc.further:
-            weight += 1 if abs(seen - first) < 0.02 * first else -1
-            self.patience[at] = (seen, 1) if weight < 0 else (first, min(weight, 50))
-        if seen > 1.02 * first or seen < 0.98 * first and (rpc.further or first > 0.98 * deadline):
-            return max(0, deadline - seen)
-        return 0
+            firsts[at] += 1
+        if sum(firsts) > CALLERS:
+            firsts[:] = [count / 2 for count in firsts]
+        return 0 if sum(firsts[at:at + 2]) > COMMON * sum(firsts) else max(0, deadline - seen)
 
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
