--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -106,6 +106,7 @@
         self.lim = float(settings.cores)
         self.clients: dict[tuple[Tenant | None, Method], Client] = {}
         self.runs = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
+        self.ends = Decaying(now), Decaying(now)
         self.firsts = {m: [0.0] * (BINS + 1) for m in settings.methods}
         self.pressed = self.stuck = False
         self.seen: dict[int, int] = {}
@@ -349,6 +350,8 @@
 
     def _push_back(self, rpc: Rpc, last: bool) -> Action:
         rpc.answered = True
+        for total, amount in zip(self.ends, (1, self.now - rpc.target + rpc.method.latency_target), strict=True):
+            total.add(amount, self.now)
         span = self.set.longest_advice
         if not (self.stuck or self.stop):
             span = int(span * AWAY) if self.pressed and self._reading_lags() else 0
@@ -368,7 +371,12 @@
             firsts[at] += 1
         if sum(firsts) > CALLERS:
             firsts[:] = [count / 2 for count in firsts]
-        return 0 if sum(firsts[at:at + 2]) > COMMON * sum(firsts) else max(0, deadline - seen)
+        if sum(firsts[at:at + 2]) <= COMMON * sum(firsts):
+            return max(0, deadline - seen)
+        # one that looks like a first try but is marked as a further one: most likely turned away elsewhere just
+        # as RPCs are here, at the age that they have then
+        count, age = (total.read(self.now) for total in self.ends)
+        return min(max(0, deadline - seen), int(age / (count + 1))) if rpc.further else 0
 
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
