--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -414,7 +414,7 @@
     def _watch_cores(self, crowd: float) -> None:
         if not self.places[RUNNING] and crowd < 1:
             self.progress = self.now
-        elif not self.stuck and self.now - self.progress > max(HANG * self._cost(m) + m.latency_target for m in self.runs):
+        elif not self.stuck and self.now - self.progress > max(max(HANG * self._cost(m), m.latency_target) for m in self.runs):
             # guards against cores that take work and finish none; harms where single RPCs run this long
             self.stuck = True
             self.out.append(Action(Do.HEALTH, flag=False))
