--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -106,7 +106,7 @@
         self.lim = float(settings.cores)
         self.clients: dict[tuple[Tenant | None, Method], Client] = {}
         self.runs = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
-        self.ends = Decaying(now), Decaying(now)
+        self.ends = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
         self.firsts = {m: [0.0] * (BINS + 1) for m in settings.methods}
         self.pressed = self.stuck = False
         self.seen: dict[int, int] = {}
@@ -350,8 +350,10 @@
 
     def _push_back(self, rpc: Rpc, last: bool) -> Action:
         rpc.answered = True
-        for total, amount in zip(self.ends, (1, self.now - rpc.target + rpc.method.latency_target), strict=True):
-            total.add(amount, self.now)
+        if not rpc.further:
+            count, age = self.ends[rpc.method]
+            count.add(1, self.now)
+            age.add(self.now - rpc.target + rpc.method.latency_target, self.now)
         span = self.set.longest_advice
         if not (self.stuck or self.stop):
             span = int(span * AWAY) if self.pressed and self._reading_lags() else 0
@@ -375,7 +377,7 @@
             return max(0, deadline - seen)
         # one that looks like a first try but is marked as a further one: most likely turned away elsewhere just
         # as RPCs are here, at the age that they have then
-        count, age = (total.read(self.now) for total in self.ends)
+        count, age = (total.read(self.now) for total in self.ends[rpc.method])
         return min(max(0, deadline - seen), int(age / (count + 1))) if rpc.further else 0
 
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
@@ -392,7 +394,7 @@
 
     def _wait(self, tag: int) -> float:
         ahead = sum(self._cost(rpc.method) for t, _, rpc in self.hold if t <= tag and rpc.place == HELD)
-        return ahead / self.lim
+        return 1.5 * ahead / self._limit()
 
     def _crowd(self) -> float:
         warm = min(1.0, (self.now - self.born) / max(1, self.set.warm_after)) if self.set.cold else 1.0
