--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -18,6 +18,7 @@
 SPAN = 4_000_000  # over which arrivals and costs are remembered
 BUCKETS = 2  # n of the cascade
 WIDER = 1.25  # each outer bucket's rate over the next inner one's
+FEWEST = 4.0  # tokens that a bucket holds at least
 TAIL = 1.5  # the tail class is due at this multiple of the outermost delta
 GENEROUS = 20.0  # RPCs a second and core before anything was measured
 FORGET = 0.3  # weight of a generous run in the usual cost
@@ -75,7 +76,7 @@
         self.tokens = [self.sigma(j) for j in range(BUCKETS)]
 
     def sigma(self, j: int) -> float:
-        return max(1.0, self.rho * WIDER ** j * self.deltas[j] / 1e6)
+        return max(FEWEST, self.rho * WIDER ** j * self.deltas[j] / 1e6)
 
     def classify(self, now: int) -> int:
         """The latency class from 1 to BUCKETS + 1, the tail; takes a token from its bucket and outer ones."""
