--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -40,7 +40,7 @@
 FLOOD = 0.7  # share of what is read that is pushed back where callers flood the box
 CALLERS = 4096  # callers that are remembered at the most
 BINS, COMMON = 50, 0.125  # steps of patiences; share of tries with one from which it is a first try's
-SHORTEST = 100_000  # shortest idle limit of connections
+SHORTEST = 10_000  # shortest idle limit of connections
 AWAY = 0.25  # share of the longest advice that a pressed box gives where even reading costs it
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
@@ -477,7 +477,7 @@
         # guards the table of connections against more callers than it holds: where few RPCs come from a caller
         # that was here lately, a kept connection is seldom used again; harms where such callers come in spells
         share = self.known.read(self.now) / self.met.read(self.now)
-        span = max(SHORTEST, int(self.set.longest_idle * share ** 4))
+        span = max(SHORTEST, int(self.set.longest_idle * share ** 8))
         if self.set.longest_idle and abs(span - self.idle) > 0.2 * self.idle:
             self.idle = span
             self.out.append(Action(Do.IDLE, span=span))
