--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -154,7 +154,7 @@
         self.unread.add(rpc.waited, now)
         rpc.level = client.classify(now)
         # class spacing: the more critical a method, the sooner its first class is due
-        ahead = (self.least / method.criticality) ** 0.5 if rpc.level == 1 and method.criticality else 1
+        ahead = self._ahead(method) if rpc.level == 1 else 1
         rpc.tag = read_at + int(client.deltas[rpc.level - 1] * ahead)
         self._line_up(self.dues, rpc.due, rpc)
         rpc.life = self._life(rpc)
@@ -333,6 +333,9 @@
             return "pressed"
         return "slow" if not idle and self._hopeless(rpc, wait) else ""
 
+    def _ahead(self, method: Method) -> float:
+        return (self.least / method.criticality) ** 0.5 if method.criticality else 1.0
+
     def _bouncing(self, share: float) -> bool:
         return self.turned.read(self.now) > share * self.reads.read(self.now)
 
@@ -384,7 +387,7 @@
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
         # where there is work to choose from, what of the least critical may run into its due time is waste
-        costs = CHOOSY if rpc.method.criticality <= self.least and self._bouncing(BOUNCED) else 1
+        costs = CHOOSY if rpc.method.criticality <= self.least and self._bouncing(BOUNCED) else self._ahead(rpc.method)
         return self.now + wait + costs * self._cost(rpc.method) > min(rpc.target, rpc.due)
 
     def _cost(self, method: Method) -> float:
