--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -457,7 +457,7 @@
                 inside = min(1.0, quota / sent[client.tenant])
             # what of a tenant's traffic lies beyond its share is not marked: each RPC is worth the mean
             worth = client.method.criticality * (inside + (1 - inside) * self.set.over_share)
-            needs.append((client, rate * cost * 1.2 + 0.01, worth / cost, cost))
+            needs.append((client, rate * cost * 2 + 0.01, worth / cost, cost))
         given = dict.fromkeys(self.clients.values(), 0.0)
         room = self.lim
         while needs and room > 1e-3:
