--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -29,7 +29,7 @@
 CUT = 0.7  # share that the window on calls keeps after a sign of trouble
 SLOW = 3.0  # a call this many times slower than the usual one is such a sign
 CHOOSY = 1.3  # usual costs that must still fit before the latency target where much bounces; else one
-WIDE, NARROW = 4.0, 0.5  # widest window for a caller over the cores; the second where RPCs lie unread
+WIDE, NARROW = 4.0, 0.75  # widest window for a caller over the cores; the second where RPCs lie unread
 FULL_HOLD = 0.25  # share of a target that the hold may take up before callers are asked to send less
 READ_FLOOR = 0.5  # share of the cores that runs keep however much is being read
 UNREAD = 0.05  # share of the shortest target that RPCs lie unread where reading them is what costs
@@ -495,7 +495,8 @@
         # a window or a share keeps off RPCs of every criticality; worth it only where reading them costs much
         costly = self._reading_lags() or self.extra > BLIND * self.set.cores
         # a short hold tells nothing where most of what is read bounces
-        less = (wait > bound or self._bouncing(FLOOD)) and (costly or self.set.say is Say.THRESHOLD)
+        less = (wait > bound or self._bouncing(FLOOD)) and (costly or self.set.say is Say.THRESHOLD) and (
+            self.set.say is Say.THRESHOLD or self.busy > HIGH)
         self.open = max(0.02, self.open * 0.95) if less else min(1.0, self.open * 1.03)
         level = 0.0 if self.stuck or self.stop else self.open
         window = level * self.set.cores * (NARROW if self._reading_lags() else WIDE)
