--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -31,7 +31,6 @@
 CHOOSY = 1.3  # usual costs that must still fit before the latency target where much bounces; else one
 WIDE, NARROW = 4.0, 0.75  # widest window for a caller over the cores; the second where RPCs lie unread
 FULL_HOLD = 0.25  # share of a target that the hold may take up before callers are asked to send less
-READ_FLOOR = 0.5  # share of the cores that runs keep however much is being read
 UNREAD = 0.05  # share of the shortest target that RPCs lie unread where reading them is what costs
 BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
 RECENT = 1_000_000  # over which unread times are remembered
@@ -347,7 +346,7 @@
         # reading goes on beside the runs whatever is decided; guards against both together crowding the cores
         # past what they do well, seen as RPCs that lie unread; harms where cores would take the crowd gladly
         extra = self.extra if self._reading_lags() else 0.0
-        return max(self.lim - extra, self.set.cores * READ_FLOOR)
+        return max(self.lim - extra, float(self.set.cores))
 
     def _idle(self) -> bool:
         return self.places[RUNNING] + 1 <= self.lim and self.busy < LOW
