--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -345,8 +345,7 @@
     def _limit(self) -> float:
         # reading goes on beside the runs whatever is decided; guards against both together crowding the cores
         # past what they do well, seen as RPCs that lie unread; harms where cores would take the crowd gladly
-        extra = self.extra if self._reading_lags() else 0.0
-        return max(self.lim - extra, float(self.set.cores))
+        return max(self.lim - self.extra, float(self.set.cores))
 
     def _idle(self) -> bool:
         return self.places[RUNNING] + 1 <= self.lim and self.busy < LOW
