--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -109,12 +109,14 @@
         self.ends = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
         self.firsts = {m: [0.0] * (BINS + 1) for m in settings.methods}
         self.pressed = self.stuck = False
+        self.healthy = True
         self.seen: dict[int, int] = {}
         self.met, self.known = (Decaying(now, max(SPAN, settings.longest_idle)) for _ in range(2))
         self.met.add(1, now)
         self.known.add(1, now)
         self.idle = settings.longest_idle
         self.reads, self.unread, self.turned = (Decaying(now, RECENT) for _ in range(3))
+        self.shortest = min(m.latency_target for m in settings.methods)
         self.least = min(m.criticality for m in settings.methods)
         self.progress = self.planned = self.freed = self.cut_at = self.next_call = now
         self.stop = self.closing = self.count = 0
@@ -207,7 +209,7 @@
         for _, _, rpc in self.dues:
             rpc.due = min(rpc.due, self.stop - 3 * TICK)
         self.dues = sorted((rpc.due, n, rpc) for _, n, rpc in self.dues)
-        self.out.append(Action(Do.HEALTH, flag=False))
+        self._health()
 
     def tick(self, gauges: dict[str, float], now: int) -> None:
         self.now = now
@@ -222,6 +224,7 @@
         self.extra += (max(0.0, crowd - on_cores) - self.extra) * 0.2
         self.pressed = busy >= (LOW if self.pressed else HIGH) and held > 0
         self._watch_cores(crowd)
+        self._health()
         self._sweep()
         if now - self.planned > 10 * TICK:
             self.planned = now
@@ -339,8 +342,7 @@
         return self.turned.read(self.now) > share * self.reads.read(self.now)
 
     def _reading_lags(self) -> bool:
-        shortest = min(m.latency_target for m in self.set.methods)
-        return self.unread.read(self.now) > UNREAD * shortest * self.reads.read(self.now)
+        return self.unread.read(self.now) > UNREAD * self.shortest * self.reads.read(self.now)
 
     def _limit(self) -> float:
         # reading goes on beside the runs whatever is decided; guards against both together crowding the cores
@@ -412,8 +414,6 @@
         self.progress = self.now
         if self.stuck:
             self.stuck, self.freed = False, self.now
-            if not self.stop:
-                self.out.append(Action(Do.HEALTH, flag=True))
 
     def _watch_cores(self, crowd: float) -> None:
         if not self.places[RUNNING] and crowd < 1:
@@ -421,12 +421,16 @@
         elif not self.stuck and self.now - self.progress > max(max(HANG * self._cost(m), m.latency_target) for m in self.runs):
             # guards against cores that take work and finish none; harms where single RPCs run this long
             self.stuck = True
-            self.out.append(Action(Do.HEALTH, flag=False))
             for _, _, rpc in list(self.dues):
                 may_again = rpc.place == HELD or rpc.place == RUNNING and rpc.method.kind is Kind.IDEMPOTENT
                 if may_again and not rpc.answered:
                     self._resume(rpc, DROP)
 
+    def _health(self) -> None:
+        if self.healthy is bool(self.stop or self.stuck):
+            self.healthy = not self.healthy
+            self.out.append(Action(Do.HEALTH, flag=self.healthy))
+
     def _sweep(self) -> None:
         while self.dues and self.dues[0][0] <= self.now + TICK:
             rpc = heappop(self.dues)[2]
