--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -34,13 +34,11 @@
 UNREAD = 0.05  # share of the shortest target that RPCs lie unread where reading them is what costs
 BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
 RECENT = 1_000_000  # over which unread times are remembered
-STANDING = 0.1  # share of its target that an RPC of the outermost class must wait to be pushed back
 BOUNCED = 0.25  # share of what is read that is pushed back from which callers should not try elsewhere
 FLOOD = 0.7  # share of what is read that is pushed back where callers flood the box
 CALLERS = 4096  # callers that are remembered at the most
 BINS, COMMON = 50, 0.125  # steps of patiences; share of tries with one from which it is a first try's
 SHORTEST = 10_000  # shortest idle limit of connections
-AWAY = 0.25  # share of the longest advice that a pressed box gives where even reading costs it
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
 START, DROP, OVERDUE, GONE, AT_CALL, GO, SKIP = "start drop overdue gone at_call go skip".split()
@@ -330,10 +328,9 @@
         # (cold, slow, crowded) that turn all away and so are never learned anew; wastes one run at a time
         if self.now >= min(rpc.target, rpc.due) or not idle and self._hopeless(rpc):
             return "late"
-        wait = self._wait(rpc.tag)
-        if self.pressed and rpc.level >= BUCKETS and wait > STANDING * rpc.method.latency_target:
+        if self.pressed and rpc.level >= BUCKETS:
             return "pressed"
-        return "slow" if not idle and self._hopeless(rpc, wait) else ""
+        return "slow" if not idle and self._hopeless(rpc, self._wait(rpc.tag)) else ""
 
     def _ahead(self, method: Method) -> float:
         return (self.least / method.criticality) ** 0.5 if method.criticality else 1.0
@@ -358,10 +355,7 @@
             count, age = self.ends[rpc.method]
             count.add(1, self.now)
             age.add(self.now - rpc.target + rpc.method.latency_target, self.now)
-        span = self.set.longest_advice
-        if not (self.stuck or self.stop):
-            span = int(span * AWAY) if self.pressed and self._reading_lags() else 0
-        return Action(Do.PUSH_BACK, rpc, span, last)
+        return Action(Do.PUSH_BACK, rpc, self.set.longest_advice if self.stuck or self.stop else 0, last)
 
     def _age(self, rpc: Rpc) -> int:
         """How long the client has waited already, as far as the patience that came with this try tells.
