--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -355,7 +355,10 @@
             count, age = self.ends[rpc.method]
             count.add(1, self.now)
             age.add(self.now - rpc.target + rpc.method.latency_target, self.now)
-        return Action(Do.PUSH_BACK, rpc, self.set.longest_advice if self.stuck or self.stop else 0, last)
+        # a time to come back: when what is held ahead now has been run, as far as can be told
+        longest = self.set.longest_advice
+        span = longest if self.stuck or self.stop else min(longest, int(self._wait(rpc.tag)))
+        return Action(Do.PUSH_BACK, rpc, span, last)
 
     def _age(self, rpc: Rpc) -> int:
         """How long the client has waited already, as far as the patience that came with this try tells.
