--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -355,9 +355,9 @@
             count, age = self.ends[rpc.method]
             count.add(1, self.now)
             age.add(self.now - rpc.target + rpc.method.latency_target, self.now)
-        # a time to come back: when what is held ahead now has been run, as far as can be told
-        longest = self.set.longest_advice
-        span = longest if self.stuck or self.stop else min(longest, int(self._wait(rpc.tag)))
+        # a time to come back: when the next run is likely to have ended
+        longest, soon = self.set.longest_advice, int(self._cost(rpc.method) / self._limit())
+        span = longest if self.stuck or self.stop else min(longest, soon)
         return Action(Do.PUSH_BACK, rpc, span, last)
 
     def _age(self, rpc: Rpc) -> int:
