--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -15,7 +15,7 @@
 from .interface import Action, Do, Halt, Kind, Method, Outcome, Rpc, Say, Settings, Tenant
 
 TICK = 50_000  # spacing of the one timer; due answers leave up to one tick early
-SPAN = 4_000_000  # over which arrivals and costs are remembered
+SPAN, RECENT = 4_000_000, 1_000_000  # of arrivals and costs; of unread times and pushbacks
 BUCKETS = 2  # n of the cascade
 WIDER = 1.25  # each outer bucket's rate over the next inner one's
 FEWEST = 4.0  # tokens that a bucket holds at least
@@ -23,21 +23,16 @@
 GENEROUS = 20.0  # RPCs a second and core before anything was measured
 FORGET = 0.3  # weight of a generous run in the usual cost
 HIGH, LOW = 0.95, 0.85  # marks of the core gauge for pushbacks of the outermost class
-HEADROOM = 0.8  # share of the deadly crowd that may run, calls included
-FULL = 0.85  # share of the memory that may be taken by what is held and remembered
+HEADROOM, FULL = 0.8, 0.85  # shares: of the deadly crowd that may run, of memory for what is held and keys
 LEAST, MOST = 0.1, 0.9  # bounds of that window, as shares of what this server may have in hand below
-CUT = 0.7  # share that the window on calls keeps after a sign of trouble
-SLOW = 3.0  # a call this many times slower than the usual one is such a sign
+CUT, SLOW = 0.7, 3.0  # share that the window keeps after a sign of trouble; as is a call so many times slower
 CHOOSY = 1.3  # usual costs that must still fit before the latency target where much bounces; else one
 WIDE, NARROW = 4.0, 0.75  # widest window for a caller over the cores; the second where RPCs lie unread
 FULL_HOLD = 0.25  # share of a target that the hold may take up before callers are asked to send less
-UNREAD = 0.05  # share of the shortest target that RPCs lie unread where reading them is what costs
-BLIND = 0.15  # share of the cores that reading takes before callers are kept off blindly
-RECENT = 1_000_000  # over which unread times are remembered
-BOUNCED = 0.25  # share of what is read that is pushed back from which callers should not try elsewhere
-FLOOD = 0.7  # share of what is read that is pushed back where callers flood the box
+UNREAD, BLIND = 0.05, 0.15  # reading costs: share of a target that RPCs lie unread, of the cores it takes
+BOUNCED, FLOOD = 0.25, 0.7  # shares of what is read pushed back: little use elsewhere; callers flood the box
 CALLERS = 4096  # callers that are remembered at the most
-BINS, COMMON = 50, 0.125  # steps of patiences; share of tries with one from which it is a first try's
+BINS, COMMON, STAY = 50, 0.125, 0.998  # steps of patiences; share that tells a first try's; share kept a try
 SHORTEST = 10_000  # shortest idle limit of connections
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
@@ -45,20 +40,26 @@
 HELD, RUNNING, CALLING, WAITING, JOINED, OVER = "held running calling waiting joined over".split()
 
 
+Line = list[tuple[int, int, Rpc]]  # a heap by time
+
+
 class Decaying:
-    """A sum that forgets over `span`, brought up to date when it is read."""
+    """A sum and a count that forget over `span`, brought up to date when they are read."""
 
     def __init__(self, now: int, span: int = SPAN) -> None:
-        self.sum, self.at, self.span = 0.0, now, span
+        self.sum, self.count, self.at, self.span = 0.0, 0.0, now, span
 
     def read(self, now: int) -> float:
         if now > self.at:
-            self.sum *= exp((self.at - now) / self.span)
-            self.at = now
+            left = exp((self.at - now) / self.span)
+            self.sum, self.count, self.at = self.sum * left, self.count * left, now
         return self.sum
 
-    def add(self, amount: float, now: int) -> None:
-        self.sum = self.read(now) + amount
+    def add(self, amount: float, now: int, count: float = 1) -> None:
+        self.sum, self.count = self.read(now) + amount, self.count + count
+
+    def mean(self, now: int, prior: float = 0.0, weight: float = 1e-9) -> float:
+        return (self.read(now) + prior * weight) / (self.count + weight)
 
 
 class Client:
@@ -92,41 +93,32 @@
 class Control:
     def __init__(self, settings: Settings, seed: int, now: int) -> None:
         self.set, self.born, self.now = settings, now, now
-        self.chance = seed & (1 << 64) - 1
         self.out: list[Action] = []
-        self.hold: list[tuple[int, int, Rpc]] = []
-        self.dues: list[tuple[int, int, Rpc]] = []
-        self.waiting: list[tuple[int, int, Rpc]] = []
-        self.keys: list[tuple[int, int, Rpc]] = []
+        lines: tuple[Line, ...] = ([], [], [], [])
+        self.hold, self.dues, self.waiting, self.keys = lines
         self.kept: set[Rpc] = set()
         self.places = dict.fromkeys((HELD, RUNNING, CALLING, WAITING, JOINED, OVER), 0)
         self.memory = self.extra = self.busy = self.usual_call = 0.0
         self.lim = float(settings.cores)
         self.clients: dict[tuple[Tenant | None, Method], Client] = {}
-        self.runs = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
-        self.ends = {m: (Decaying(now), Decaying(now)) for m in settings.methods}
+        self.runs, self.ends = ({m: Decaying(now) for m in settings.methods} for _ in range(2))
         self.firsts = {m: [0.0] * (BINS + 1) for m in settings.methods}
-        self.pressed = self.stuck = False
-        self.healthy = True
+        self.pressed, self.stuck, self.healthy = False, False, True
         self.seen: dict[int, int] = {}
-        self.met, self.known = (Decaying(now, max(SPAN, settings.longest_idle)) for _ in range(2))
-        self.met.add(1, now)
-        self.known.add(1, now)
-        self.idle = settings.longest_idle
-        self.reads, self.unread, self.turned = (Decaying(now, RECENT) for _ in range(3))
+        self.idle, self.known = settings.longest_idle, Decaying(now, max(SPAN, settings.longest_idle))
+        self.unread, self.turned = Decaying(now, RECENT), Decaying(now, RECENT)
         self.shortest = min(m.latency_target for m in settings.methods)
-        self.least = min(m.criticality for m in settings.methods)
+        least = min(m.criticality for m in settings.methods)
+        self.rank = {m: (least / m.criticality) ** 0.5 if m.criticality else 1.0 for m in settings.methods}
         self.progress = self.planned = self.freed = self.cut_at = self.next_call = now
         self.stop = self.closing = self.count = 0
         self.open, self.said = 0.3 if settings.cold else 1.0, -1.0
         self.window = settings.calls_out / 2
         self.lingering: list[int] = []
         self.out.append(Action(Do.HEALTH, flag=True))
-        self.out.append(Action(Do.TIMER, span=1 + self._random(TICK)))
-
-    def _random(self, below: int) -> int:
-        self.chance = (self.chance * 6364136223846793005 + 1442695040888963407) & (1 << 64) - 1
-        return (self.chance >> 33) * below >> 31
+        # timers of instances that start together are spread: one step of a congruential generator, high bits
+        chance = (seed * 6364136223846793005 + 1442695040888963407 & (1 << 64) - 1) >> 33
+        self.out.append(Action(Do.TIMER, span=1 + (chance * TICK >> 31)))
 
     # What the adapter tells
 
@@ -144,8 +136,7 @@
         client.arrivals.add(1, now)
         if not self.places[RUNNING]:
             self._progress()  # so that cores which hang in reading are seen too
-        self.reads.add(1, now)
-        self.met.add(1, now)
+        self.turned.add(0, now)
         self.known.add(now - self.seen.get(rpc.caller, -self.set.longest_idle) < self.set.longest_idle, now)
         if len(self.seen) > CALLERS:
             self.seen.clear()  # guards the memory where callers come back under new numbers
@@ -153,8 +144,7 @@
         self.unread.add(rpc.waited, now)
         rpc.level = client.classify(now)
         # class spacing: the more critical a method, the sooner its first class is due
-        ahead = self._ahead(method) if rpc.level == 1 else 1
-        rpc.tag = read_at + int(client.deltas[rpc.level - 1] * ahead)
+        rpc.tag = read_at + int(client.deltas[rpc.level - 1] * (self.rank[method] if rpc.level == 1 else 1))
         self._line_up(self.dues, rpc.due, rpc)
         rpc.life = self._life(rpc)
         self._resume(rpc, None)
@@ -165,9 +155,7 @@
         # what stood on hung cores tells nothing about costs; the time of stopped runs counts, or costs would
         # be learned from the short runs alone just where the long ones are stopped
         if rpc.place == RUNNING and outcome != Outcome.MOOT and now - spent >= self.freed:
-            count, cost = self.runs[rpc.method]
-            count.add(outcome == Outcome.OK, now)
-            cost.add(max(1, spent - rpc.off_cores), now)
+            self.runs[rpc.method].add(max(1, spent - rpc.off_cores), now, outcome == Outcome.OK)
         self._resume(rpc, outcome)
 
     def at_call(self, rpc: Rpc, now: int) -> None:
@@ -207,7 +195,6 @@
         for _, _, rpc in self.dues:
             rpc.due = min(rpc.due, self.stop - 3 * TICK)
         self.dues = sorted((rpc.due, n, rpc) for _, n, rpc in self.dues)
-        self._health()
 
     def tick(self, gauges: dict[str, float], now: int) -> None:
         self.now = now
@@ -250,7 +237,7 @@
             return
         unwanted = self._unwanted(rpc)
         if unwanted:
-            self.turned.add(1, self.now)
+            self.turned.add(1, self.now, 0)
             # one pressed box may have idle neighbours; where much bounces they are likely no better off
             yield self._push_back(rpc, last=unwanted == "late" or self._bouncing(BOUNCED))
             return
@@ -332,18 +319,14 @@
             return "pressed"
         return "slow" if not idle and self._hopeless(rpc, self._wait(rpc.tag)) else ""
 
-    def _ahead(self, method: Method) -> float:
-        return (self.least / method.criticality) ** 0.5 if method.criticality else 1.0
-
     def _bouncing(self, share: float) -> bool:
-        return self.turned.read(self.now) > share * self.reads.read(self.now)
+        return self.turned.mean(self.now) > share
 
     def _reading_lags(self) -> bool:
-        return self.unread.read(self.now) > UNREAD * self.shortest * self.reads.read(self.now)
+        return self.unread.mean(self.now) > UNREAD * self.shortest
 
     def _limit(self) -> float:
-        # reading goes on beside the runs whatever is decided; guards against both together crowding the cores
-        # past what they do well, seen as RPCs that lie unread; harms where cores would take the crowd gladly
+        # guards against reading and runs together crowding the cores; harms where these would take the crowd
         return max(self.lim - self.extra, float(self.set.cores))
 
     def _idle(self) -> bool:
@@ -352,46 +335,38 @@
     def _push_back(self, rpc: Rpc, last: bool) -> Action:
         rpc.answered = True
         if not rpc.further:
-            count, age = self.ends[rpc.method]
-            count.add(1, self.now)
-            age.add(self.now - rpc.target + rpc.method.latency_target, self.now)
+            self.ends[rpc.method].add(self.now - rpc.target + rpc.method.latency_target, self.now)
         # a time to come back: when the next run is likely to have ended
         longest, soon = self.set.longest_advice, int(self._cost(rpc.method) / self._limit())
         span = longest if self.stuck or self.stop else min(longest, soon)
         return Action(Do.PUSH_BACK, rpc, span, last)
 
     def _age(self, rpc: Rpc) -> int:
-        """How long the client has waited already, as far as the patience that came with this try tells.
-
-        Callers give first tries one of a few fixed patiences, as shares of the deadline, and later ones all
-        that is left. They are learned over all callers: each may be seen here once only.
-        """
+        """How long the client has waited already: first tries come with one of a few patiences, learned over
+        all callers (each may be seen here once only), later ones mostly with all that is left."""
         if not rpc.patience:
             return 0
         seen, deadline, firsts = rpc.patience + rpc.waited, rpc.method.deadline, self.firsts[rpc.method]
         at = min(BINS, BINS * seen // deadline)
         if not rpc.further:
-            firsts[at] += 1
-        if sum(firsts) > CALLERS:
-            firsts[:] = [count / 2 for count in firsts]
+            firsts[:] = [count * STAY + (j == at) for j, count in enumerate(firsts)]
         if sum(firsts[at:at + 2]) <= COMMON * sum(firsts):
             return max(0, deadline - seen)
-        # one that looks like a first try but is marked as a further one: most likely turned away elsewhere just
-        # as RPCs are here, at the age that they have then
-        count, age = (total.read(self.now) for total in self.ends[rpc.method])
-        return min(max(0, deadline - seen), int(age / (count + 1))) if rpc.further else 0
+        # marked as a further one, yet like a first: most likely turned away elsewhere at the age usual here
+        age = int(self.ends[rpc.method].mean(self.now, weight=1)) if rpc.further else 0
+        return min(max(0, deadline - seen), age)
 
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
-        # where there is work to choose from, what of the least critical may run into its due time is waste
-        costs = CHOOSY if rpc.method.criticality <= self.least and self._bouncing(BOUNCED) else self._ahead(rpc.method)
+        # a run that may just fit is worth the try for the critical, waste for the least where much bounces
+        rank = self.rank[rpc.method]
+        costs = CHOOSY if rank >= 1 and self._bouncing(BOUNCED) else rank
         return self.now + wait + costs * self._cost(rpc.method) > min(rpc.target, rpc.due)
 
     def _cost(self, method: Method) -> float:
         """Usual time on the cores, as it is with the present crowd on them."""
-        count, cost = (total.read(self.now) for total in self.runs[method])
         # part of a generous run is mixed in: what is not run for a while is forgotten and tried again
-        return (cost + FORGET * 1e6 / GENEROUS) / (count + FORGET)
+        return self.runs[method].mean(self.now, 1e6 / GENEROUS, FORGET)
 
     def _wait(self, tag: int) -> float:
         ahead = sum(self._cost(rpc.method) for t, _, rpc in self.hold if t <= tag and rpc.place == HELD)
@@ -415,8 +390,10 @@
     def _watch_cores(self, crowd: float) -> None:
         if not self.places[RUNNING] and crowd < 1:
             self.progress = self.now
-        elif not self.stuck and self.now - self.progress > max(max(HANG * self._cost(m), m.latency_target) for m in self.runs):
-            # guards against cores that take work and finish none; harms where single RPCs run this long
+        elif not self.stuck and self.now - self.progress > max(
+                max(HANG * self._cost(m), m.latency_target) for m in self.runs):
+            # guards against cores that take work and finish none; harms where single RPCs run this long (the
+            # target, since on small or cold boxes one long run, or costs not learned yet, looks like a hang)
             self.stuck = True
             for _, _, rpc in list(self.dues):
                 may_again = rpc.place == HELD or rpc.place == RUNNING and rpc.method.kind is Kind.IDEMPOTENT
@@ -444,42 +421,35 @@
     def _plan(self) -> None:
         """Splits the measured completion rate over the active clients: lim runs, each taking its cost."""
         needs: list[tuple[Client, float, float, float]] = []
-        sent: dict[Tenant, float] = {}
+        sent: dict[Tenant | None, float] = {}
         for client in self.clients.values():
-            if client.tenant is not None:
-                sent[client.tenant] = sent.get(client.tenant, 0) + client.arrivals.read(self.now)
+            sent[client.tenant] = sent.get(client.tenant, 0) + client.arrivals.read(self.now)
         for client in self.clients.values():
             rate, cost = client.arrivals.read(self.now) * 1e6 / SPAN, self._cost(client.method) / 1e6
-            inside = 1.0
-            if client.tenant is not None and client.tenant.quota_per_s and sent[client.tenant]:
-                quota = client.tenant.quota_per_s / self.set.peers * SPAN / 1e6
-                inside = min(1.0, quota / sent[client.tenant])
+            quota = client.tenant.quota_per_s / self.set.peers * SPAN / 1e6 if client.tenant else 0.0
+            inside = min(1.0, quota / sent[client.tenant]) if quota and sent[client.tenant] else 1.0
             # what of a tenant's traffic lies beyond its share is not marked: each RPC is worth the mean
             worth = client.method.criticality * (inside + (1 - inside) * self.set.over_share)
-            needs.append((client, rate * cost * 2 + 0.01, worth / cost, cost))
+            # twice the rate: of a few RPCs a second it is a noisy sample
+            needs.append((client, 2 * rate * cost + 0.01, worth / cost, cost))
         given = dict.fromkeys(self.clients.values(), 0.0)
         room = self.lim
         while needs and room > 1e-3:
-            # water-filling by need and the square of criticality for the cost: close to an order where they
-            # differ much, an even share where they hardly do
+            # water-filling: close to an order where criticality differs much, an even share where hardly
             total = sum(need * density ** 2 for _, need, density, _ in needs)
             part = min(room / total, 1 / max(density for _, _, density, _ in needs) ** 2)
-            rest = []
             for client, need, density, cost in needs:
-                got = need * part * density ** 2
-                given[client] += got / cost
-                room -= got
-                if need - got > 1e-6:
-                    rest.append((client, need - got, density, cost))
-            needs = rest
+                given[client] += need * part * density ** 2 / cost
+                room -= need * part * density ** 2
+            needs = [(client, need * (1 - part * density ** 2), density, cost)
+                     for client, need, density, cost in needs if need * (1 - part * density ** 2) > 1e-6]
         for client, rho in given.items():
             client.rho = rho * (1 + max(0.0, room) / self.lim)
 
     def _idle_limit(self) -> None:
-        # guards the table of connections against more callers than it holds: where few RPCs come from a caller
-        # that was here lately, a kept connection is seldom used again; harms where such callers come in spells
-        share = self.known.read(self.now) / self.met.read(self.now)
-        span = max(SHORTEST, int(self.set.longest_idle * share ** 8))
+        # guards the table of connections against more callers than it holds: where few RPCs come from one
+        # that was here lately, a kept connection is seldom used again; harms where these come in spells
+        span = max(SHORTEST, int(self.set.longest_idle * self.known.mean(self.now, 1, 1) ** 8))
         if self.set.longest_idle and abs(span - self.idle) > 0.2 * self.idle:
             self.idle = span
             self.out.append(Action(Do.IDLE, span=span))
@@ -489,13 +459,12 @@
             return
         wait = sum(self._cost(r.method) for _, _, r in self.hold if r.place == HELD) / self.lim
         # a threshold keeps the least critical off first and may wait for their target, others hit all methods
-        rank = (lambda m: m.criticality) if self.set.say is Say.THRESHOLD else (lambda m: m.latency_target)
-        bound = FULL_HOLD * min(self.set.methods, key=rank).latency_target
-        # a window or a share keeps off RPCs of every criticality; worth it only where reading them costs much
-        costly = self._reading_lags() or self.extra > BLIND * self.set.cores
-        # a short hold tells nothing where most of what is read bounces
-        less = (wait > bound or self._bouncing(FLOOD)) and (costly or self.set.say is Say.THRESHOLD) and (
-            self.set.say is Say.THRESHOLD or self.busy > HIGH)
+        threshold = self.set.say is Say.THRESHOLD
+        bound = FULL_HOLD * (max(m.latency_target for m in self.set.methods) if threshold else self.shortest)
+        # a window or a share keeps off RPCs of every criticality; worth it only at full cores that reading
+        # takes a part of; and a short hold tells nothing where most of what is read bounces
+        costly = self.busy > HIGH and (self._reading_lags() or self.extra > BLIND * self.set.cores)
+        less = (threshold or costly) and (wait > bound or self._bouncing(FLOOD))
         self.open = max(0.02, self.open * 0.95) if less else min(1.0, self.open * 1.03)
         level = 0.0 if self.stuck or self.stop else self.open
         window = level * self.set.cores * (NARROW if self._reading_lags() else WIDE)
@@ -520,7 +489,7 @@
                 self.memory += sign * weight * rpc.size
         rpc.place, rpc.since = place, self.now
 
-    def _line_up(self, line: list[tuple[int, int, Rpc]], at: int, rpc: Rpc) -> None:
+    def _line_up(self, line: Line, at: int, rpc: Rpc) -> None:
         self.count += 1
         heappush(line, (at, self.count, rpc))
 
