--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -33,6 +33,7 @@
 BOUNCED, FLOOD = 0.25, 0.7  # shares of what is read pushed back: little use elsewhere; callers flood the box
 CALLERS = 4096  # callers that are remembered at the most
 BINS, COMMON, STAY = 50, 0.125, 0.998  # steps of patiences; share that tells a first try's; share kept a try
+DROWNED = 0.4  # share of the longest target that RPCs lie unread from which tables may fill
 SHORTEST = 10_000  # shortest idle limit of connections
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
@@ -103,10 +104,11 @@
         self.clients: dict[tuple[Tenant | None, Method], Client] = {}
         self.runs, self.ends = ({m: Decaying(now) for m in settings.methods} for _ in range(2))
         self.firsts = {m: [0.0] * (BINS + 1) for m in settings.methods}
-        self.pressed, self.stuck, self.healthy = False, False, True
+        self.pressed, self.stuck, self.drowned, self.healthy = False, False, False, True
         self.seen: dict[int, int] = {}
         self.idle, self.known = settings.longest_idle, Decaying(now, max(SPAN, settings.longest_idle))
         self.unread, self.turned = Decaying(now, RECENT), Decaying(now, RECENT)
+        self.longest = max(m.latency_target for m in settings.methods)
         self.shortest = min(m.latency_target for m in settings.methods)
         least = min(m.criticality for m in settings.methods)
         self.rank = {m: (least / m.criticality) ** 0.5 if m.criticality else 1.0 for m in settings.methods}
@@ -449,7 +451,10 @@
     def _idle_limit(self) -> None:
         # guards the table of connections against more callers than it holds: where few RPCs come from one
         # that was here lately, a kept connection is seldom used again; harms where these come in spells
-        span = max(SHORTEST, int(self.set.longest_idle * self.known.mean(self.now, 1, 1) ** 8))
+        # A full table turns tries away unread, at the price of a tax: the lesser evil where all is read too late
+        self.drowned = self.unread.mean(self.now) > (UNREAD if self.drowned else DROWNED) * self.longest
+        keep = 1.0 if self.drowned else self.known.mean(self.now, 1, 1) ** 8
+        span = max(SHORTEST, int(self.set.longest_idle * keep))
         if self.set.longest_idle and abs(span - self.idle) > 0.2 * self.idle:
             self.idle = span
             self.out.append(Action(Do.IDLE, span=span))
