--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -452,7 +452,7 @@
         # guards the table of connections against more callers than it holds: where few RPCs come from one
         # that was here lately, a kept connection is seldom used again; harms where these come in spells
         # A full table turns tries away unread, at the price of a tax: the lesser evil where all is read too late
-        self.drowned = self.unread.mean(self.now) > (UNREAD if self.drowned else DROWNED) * self.longest
+        self.drowned = self.unread.mean(self.now) > (UNREAD / 2.5 if self.drowned else DROWNED) * self.longest
         keep = 1.0 if self.drowned else self.known.mean(self.now, 1, 1) ** 8
         span = max(SHORTEST, int(self.set.longest_idle * keep))
         if self.set.longest_idle and abs(span - self.idle) > 0.2 * self.idle:
