--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -33,7 +33,7 @@
 BOUNCED, FLOOD = 0.25, 0.7  # shares of what is read pushed back: little use elsewhere; callers flood the box
 CALLERS = 4096  # callers that are remembered at the most
 BINS, COMMON, STAY = 50, 0.125, 0.998  # steps of patiences; share that tells a first try's; share kept a try
-DROWNED = 0.4  # share of the longest target that RPCs lie unread from which tables may fill
+DROWNED = 0.3  # share of the longest target that RPCs lie unread from which tables may fill
 SHORTEST = 10_000  # shortest idle limit of connections
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
@@ -452,7 +452,7 @@
         # guards the table of connections against more callers than it holds: where few RPCs come from one
         # that was here lately, a kept connection is seldom used again; harms where these come in spells
         # A full table turns tries away unread, at the price of a tax: the lesser evil where all is read too late
-        self.drowned = self.unread.mean(self.now) > (UNREAD / 2.5 if self.drowned else DROWNED) * self.longest
+        self.drowned = self.unread.mean(self.now) > (UNREAD / 5 if self.drowned else DROWNED) * self.longest
         keep = 1.0 if self.drowned else self.known.mean(self.now, 1, 1) ** 8
         span = max(SHORTEST, int(self.set.longest_idle * keep))
         if self.set.longest_idle and abs(span - self.idle) > 0.2 * self.idle:
