--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -17,9 +17,8 @@
 TICK = 50_000  # spacing of the one timer; due answers leave up to one tick early
 SPAN, RECENT = 4_000_000, 1_000_000  # of arrivals and costs; of unread times and pushbacks
 BUCKETS = 2  # n of the cascade
-WIDER = 1.25  # each outer bucket's rate over the next inner one's
+WIDER, TAIL = 1.25, 1.5  # an outer bucket's rate over the next inner; the tail's delta over the outermost
 FEWEST = 4.0  # tokens that a bucket holds at least
-TAIL = 1.5  # the tail class is due at this multiple of the outermost delta
 GENEROUS = 20.0  # RPCs a second and core before anything was measured
 FORGET = 0.3  # weight of a generous run in the usual cost
 HIGH, LOW = 0.95, 0.85  # marks of the core gauge for pushbacks of the outermost class
@@ -33,7 +32,7 @@
 BOUNCED, FLOOD = 0.25, 0.7  # shares of what is read pushed back: little use elsewhere; callers flood the box
 CALLERS = 4096  # callers that are remembered at the most
 BINS, COMMON, STAY = 50, 0.125, 0.998  # steps of patiences; share that tells a first try's; share kept a try
-DROWNED = 0.3  # share of the longest target that RPCs lie unread from which tables may fill
+DROWNED, CLEAR = 0.3, 0.01  # shares of the longest target that RPCs lie unread: tables may fill, until
 SHORTEST = 10_000  # shortest idle limit of connections
 HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
@@ -108,8 +107,8 @@
         self.seen: dict[int, int] = {}
         self.idle, self.known = settings.longest_idle, Decaying(now, max(SPAN, settings.longest_idle))
         self.unread, self.turned = Decaying(now, RECENT), Decaying(now, RECENT)
-        self.longest = max(m.latency_target for m in settings.methods)
-        self.shortest = min(m.latency_target for m in settings.methods)
+        targets = [m.latency_target for m in settings.methods]
+        self.shortest, self.longest = min(targets), max(targets)
         least = min(m.criticality for m in settings.methods)
         self.rank = {m: (least / m.criticality) ** 0.5 if m.criticality else 1.0 for m in settings.methods}
         self.progress = self.planned = self.freed = self.cut_at = self.next_call = now
@@ -154,8 +153,7 @@
     def finished(self, rpc: Rpc, outcome: Outcome, spent: int, now: int) -> None:
         self.now = now
         self._progress()
-        # what stood on hung cores tells nothing about costs; the time of stopped runs counts, or costs would
-        # be learned from the short runs alone just where the long ones are stopped
+        # what stood on hung cores tells nothing of costs; the time of stopped runs does, they are the long
         if rpc.place == RUNNING and outcome != Outcome.MOOT and now - spent >= self.freed:
             self.runs[rpc.method].add(max(1, spent - rpc.off_cores), now, outcome == Outcome.OK)
         self._resume(rpc, outcome)
@@ -339,9 +337,8 @@
         if not rpc.further:
             self.ends[rpc.method].add(self.now - rpc.target + rpc.method.latency_target, self.now)
         # a time to come back: when the next run is likely to have ended
-        longest, soon = self.set.longest_advice, int(self._cost(rpc.method) / self._limit())
-        span = longest if self.stuck or self.stop else min(longest, soon)
-        return Action(Do.PUSH_BACK, rpc, span, last)
+        soon = self.set.longest_advice if self.stuck or self.stop else self._cost(rpc.method) / self._limit()
+        return Action(Do.PUSH_BACK, rpc, int(min(soon, self.set.longest_advice)), last)
 
     def _age(self, rpc: Rpc) -> int:
         """How long the client has waited already: first tries come with one of a few patiences, learned over
@@ -361,8 +358,7 @@
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
         # a run that may just fit is worth the try for the critical, waste for the least where much bounces
-        rank = self.rank[rpc.method]
-        costs = CHOOSY if rank >= 1 and self._bouncing(BOUNCED) else rank
+        costs = CHOOSY if self.rank[rpc.method] >= 1 and self._bouncing(BOUNCED) else self.rank[rpc.method]
         return self.now + wait + costs * self._cost(rpc.method) > min(rpc.target, rpc.due)
 
     def _cost(self, method: Method) -> float:
@@ -390,10 +386,9 @@
             self.stuck, self.freed = False, self.now
 
     def _watch_cores(self, crowd: float) -> None:
-        if not self.places[RUNNING] and crowd < 1:
+        if self.stuck or not self.places[RUNNING] and crowd < 1:
             self.progress = self.now
-        elif not self.stuck and self.now - self.progress > max(
-                max(HANG * self._cost(m), m.latency_target) for m in self.runs):
+        elif self.now - self.progress > max(self.longest, HANG * max(map(self._cost, self.runs))):
             # guards against cores that take work and finish none; harms where single RPCs run this long (the
             # target, since on small or cold boxes one long run, or costs not learned yet, looks like a hang)
             self.stuck = True
@@ -450,9 +445,9 @@
 
     def _idle_limit(self) -> None:
         # guards the table of connections against more callers than it holds: where few RPCs come from one
-        # that was here lately, a kept connection is seldom used again; harms where these come in spells
-        # A full table turns tries away unread, at the price of a tax: the lesser evil where all is read too late
-        self.drowned = self.unread.mean(self.now) > (UNREAD / 5 if self.drowned else DROWNED) * self.longest
+        # that was here lately, a kept connection is seldom used again; harms where these come in spells. A
+        # full table turns tries away unread, but is a tax: the lesser evil where what is read is too late
+        self.drowned = self.unread.mean(self.now) > (CLEAR if self.drowned else DROWNED) * self.longest
         keep = 1.0 if self.drowned else self.known.mean(self.now, 1, 1) ** 8
         span = max(SHORTEST, int(self.set.longest_idle * keep))
         if self.set.longest_idle and abs(span - self.idle) > 0.2 * self.idle:
@@ -465,7 +460,7 @@
         wait = sum(self._cost(r.method) for _, _, r in self.hold if r.place == HELD) / self.lim
         # a threshold keeps the least critical off first and may wait for their target, others hit all methods
         threshold = self.set.say is Say.THRESHOLD
-        bound = FULL_HOLD * (max(m.latency_target for m in self.set.methods) if threshold else self.shortest)
+        bound = FULL_HOLD * (self.longest if threshold else self.shortest)
         # a window or a share keeps off RPCs of every criticality; worth it only at full cores that reading
         # takes a part of; and a short hold tells nothing where most of what is read bounces
         costly = self.busy > HIGH and (self._reading_lags() or self.extra > BLIND * self.set.cores)
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -175,6 +175,16 @@
     assert len(box.control.seen) <= CALLERS
 
 
+def test_where_all_is_read_too_late_connections_are_kept_until_it_has_cleared():
+    box = Box(longest_idle=30 * SECOND)
+    for waited, lasts in ((0, False), (SECOND, True), (100_000, True), (0, False)):
+        for n in range(40):
+            box.send(caller=n, waited=waited)
+            box.wait(200_000, crowd=0.0)
+        assert (box.control.idle == 30 * SECOND) == lasts, waited
+        box.control.seen.clear()
+
+
 def test_a_marked_try_like_a_first_one_has_the_age_at_which_such_are_turned_away():
     box = Box()
     for _ in range(4):
