--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -448,7 +448,7 @@
         # that was here lately, a kept connection is seldom used again; harms where these come in spells. A
         # full table turns tries away unread, but is a tax: the lesser evil where what is read is too late
         self.drowned = self.unread.mean(self.now) > (CLEAR if self.drowned else DROWNED) * self.longest
-        keep = 1.0 if self.drowned else self.known.mean(self.now, 1, 1) ** 8
+        keep = 1.0 if self.drowned else min(1.0, 1.25 * self.known.mean(self.now, 1, 1)) ** 12
         span = max(SHORTEST, int(self.set.longest_idle * keep))
         if self.set.longest_idle and abs(span - self.idle) > 0.2 * self.idle:
             self.idle = span
