--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -368,7 +368,7 @@
 
     def _wait(self, tag: int) -> float:
         ahead = sum(self._cost(rpc.method) for t, _, rpc in self.hold if t <= tag and rpc.place == HELD)
-        return 1.5 * ahead / self._limit()
+        return 1.5 * ahead / self._limit()  # half as much again: others that are due sooner will yet come
 
     def _crowd(self) -> float:
         warm = min(1.0, (self.now - self.born) / max(1, self.set.warm_after)) if self.set.cold else 1.0
