--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -360,3 +360,18 @@
     assert HALT in box.did(stopped)
     box.end(stopped, Outcome.CANCELLED)
     assert box.control._cost(box.methods[0]) > SECOND // 2
+
+
+@pytest.mark.parametrize("changes", [
+    {"cores": 1}, {"halt": Halt.NONE, "longest_advice": 0}, {"calls_out": 0.2}, {"say": Say.SHARE}])
+def test_on_odd_sites_each_of_many_callers_is_answered_once(changes):
+    box = Box(lookup(), booking(kind=Kind.NON_IDEMPOTENT), **changes)
+    sent = [box.send(box.methods[n % 2], caller=n) for n in range(100)]
+    box.wait(SECOND)
+    for rpc in sent:
+        if START in box.did(rpc) and rpc.place == "running":
+            box.end(rpc)
+    box.wait(8 * SECOND)
+    assert all(rpc.place == "over" or rpc.answered for rpc in sent)
+    assert all(box.did(rpc).count(START) <= 1 for rpc in sent)
+    assert all(PUSH_BACK not in box.did(rpc) for rpc in sent[1::2] if rpc.ran)
