--- a/hollystage/benchlink/host.py
+++ b/hollystage/benchlink/host.py
@@ -7,8 +7,8 @@
 
 from ..control import Control
 from ..interface import Action, Do, Outcome, Rpc
+from ..settings import Faulty, read, translate
 from .frames import Event, Malformed, Reply
-from .settings import translate
 
 
 class Instance:
@@ -16,7 +16,10 @@
 
     def __init__(self, number: int, seed: int, text: bytes, now: int) -> None:
         self.number = number
-        self.settings = translate(text)
+        try:
+            self.settings = translate(read(text))
+        except Faulty as bad:
+            raise Malformed(str(bad)) from bad
         self.longest = max((m.deadline for m in self.settings.methods), default=0)
         self.control = Control(self.settings, seed, now)
         self.rpcs: dict[int, Rpc] = {}
--- /dev/null
+++ b/hollystage/service/__init__.py
@@ -0,0 +1,1 @@
+"""The real service instance: the decision module on real sockets."""
--- /dev/null
+++ b/hollystage/service/buffers.py
@@ -0,0 +1,88 @@
+"""Buffers of one size, used again from a pool, and the stream that fills one from a socket."""
+from __future__ import annotations
+
+import socket
+import threading
+import time
+
+SIZE = 16 * 1024  # a head and a body of the largest message, or a line with the largest result
+
+
+class Pool:
+    """Owns the buffers; who takes one gives it back in the one place that ends its connection."""
+
+    def __init__(self) -> None:
+        self.free: list[bytearray] = []
+        self.lock = threading.Lock()
+
+    def take(self) -> bytearray:
+        with self.lock:
+            if self.free:
+                return self.free.pop()
+        return bytearray(SIZE)
+
+    def give_back(self, buffer: bytearray) -> None:
+        with self.lock:
+            self.free.append(buffer)
+
+
+class TooLong(Exception):
+    """What is looked for does not end within its limit."""
+
+
+class Broken(Exception):
+    """The other side ended the connection within a message."""
+
+
+class Stream:
+    """What one socket received and nobody has used yet; times are of the monotonic clock."""
+
+    def __init__(self, sock: socket.socket, buffer: bytearray) -> None:
+        self.sock, self.view, self.buffer = sock, memoryview(buffer), buffer
+        self.start = self.end = 0
+
+    def more(self, until: float | None) -> bool:
+        """Receives what there is; False at the end of the stream."""
+        if self.start:
+            self.view[:self.end - self.start] = self.view[self.start:self.end]
+            self.start, self.end = 0, self.end - self.start
+        if self.end == len(self.view):
+            raise TooLong
+        if until is None:
+            self.sock.settimeout(None)
+        else:
+            left = until - time.monotonic()
+            if left <= 0:
+                raise TimeoutError
+            self.sock.settimeout(left)
+        count = self.sock.recv_into(self.view[self.end:])
+        self.end += count
+        return count > 0
+
+    def empty(self) -> bool:
+        return self.start == self.end
+
+    def upto(self, mark: bytes, limit: int, until: float | None) -> bytes:
+        """All up to the mark and with it, of no more than `limit` bytes."""
+        at = self.start
+        while True:
+            found = self.buffer.find(mark, at, min(self.end, self.start + limit))
+            if found >= 0:
+                return self._use(found + len(mark) - self.start)
+            if self.end - self.start >= limit:
+                raise TooLong
+            looked = max(0, self.end - self.start - len(mark) + 1)
+            if not self.more(until):
+                raise Broken
+            at = self.start + looked
+
+    def exactly(self, size: int, until: float | None) -> bytes:
+        while self.end - self.start < size:
+            if not self.more(until):
+                raise Broken
+        return self._use(size)
+
+    def _use(self, size: int) -> bytes:
+        taken = bytes(self.view[self.start:self.start + size])
+        self.start += size
+        return taken
--- /dev/null
+++ b/hollystage/service/clients.py
@@ -0,0 +1,270 @@
+"""The side of the clients: the listener, a thread a connection, an RPC's life, the watch for closes."""
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import threading
+import time
+from queue import Empty
+from typing import Any
+
+from ..interface import Do, Kind, Outcome, Rpc
+from .buffers import Broken, Pool, Stream
+from .config import Address
+from .counters import Counters
+from .driver import Driver, Exchange, Gone, clock
+from .http import Bad, Request, read_request, rpc_fields, write_response
+from .interpreter import Link
+from .ledger import Ledger
+from .tokens import Ended
+
+SLOW_S = 5.0  # from the first byte of a message to its last, and for an answer to be taken
+DEEP_S = 1.0  # for the interpreter to show that work gets done
+OVERDUE_S = 1.0  # past an RPC's due time: the module must have answered long before
+SWEEP_S = 0.1
+BACKLOG = 512
+
+Answer = tuple[int, dict[str, str], bytes]
+
+
+class Connection:
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.idle_since = time.monotonic()  # 0 while a message is read or answered
+        self.exchange: Exchange | None = None
+
+
+class Clients:
+    """Owns the listener and every connection taken from it."""
+
+    def __init__(self, address: Address, names: list[str], driver: Driver, link: Link, ledger: Ledger,
+                 most: int, pool: Pool, counters: Counters, log: Any) -> None:
+        self.driver, self.link, self.ledger, self.pool = driver, link, ledger, pool
+        self.counters, self.log = counters, log
+        self.methods = dict(zip(names, driver.settings.methods, strict=True))
+        self.lock = threading.Lock()
+        self.connections: dict[int, Connection] = {}
+        self.most, self.room = most, threading.Semaphore(most)
+        self.closing = False
+        self.epoll = select.epoll()
+        self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.listener.bind(address)
+        self.listener.listen(BACKLOG)
+
+    def accept_forever(self) -> None:
+        while not self.closing:
+            if not self.room.acquire(timeout=SWEEP_S):
+                self._make_room()
+                continue
+            try:
+                sock, _ = self.listener.accept()
+            except OSError as bad:
+                self.room.release()
+                if not self.closing:
+                    self.log.warning("no connection could be accepted", why=str(bad))
+                    time.sleep(SWEEP_S)
+                continue
+            self._begin(sock)
+
+    def _begin(self, sock: socket.socket) -> None:
+        connection = Connection(sock)
+        with self.lock:
+            self.connections[sock.fileno()] = connection
+        self.counters.add("clients.connections")
+        try:
+            threading.Thread(target=self._connection, args=(connection,), daemon=True).start()
+        except RuntimeError as bad:  # no thread is to be had
+            self.log.error("no thread for a connection", why=str(bad))
+            self._end(connection)
+
+    def _end(self, connection: Connection) -> None:
+        with self.lock:
+            self.connections.pop(connection.sock.fileno(), None)
+            connection.sock.close()
+        self.room.release()
+
+    def _make_room(self) -> None:
+        """Closes the connection that has been idle longest, where all that may be open are."""
+        with self.lock:
+            idle = [c for c in self.connections.values() if c.idle_since]
+            if idle:
+                self._hang_up(min(idle, key=lambda connection: connection.idle_since))
+
+    def _hang_up(self, connection: Connection) -> None:
+        # reading side only: an RPC that crosses this close is read all the same, and answered
+        connection.idle_since = 0.0
+        with contextlib.suppress(OSError):
+            connection.sock.shutdown(socket.SHUT_RD)
+
+    def count(self) -> int:
+        with self.lock:
+            return len(self.connections)
+
+    def close(self) -> None:
+        """No new connections; those that wait to be accepted are served, idle ones closed."""
+        self.closing = True
+        with contextlib.suppress(OSError):
+            self.listener.setblocking(False)
+            while True:
+                self._begin(self.listener.accept()[0])
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+
+    def watch_forever(self) -> None:
+        """Tells of callers that close while their RPC is open; closes connections past the idle limit."""
+        swept = 0.0
+        while True:
+            events = self.epoll.poll(SWEEP_S)
+            for number, _ in events:
+                with self.lock:
+                    connection = self.connections.get(number)
+                    exchange = connection.exchange if connection else None
+                if exchange is not None:
+                    self.driver.gone(exchange)
+            now = time.monotonic()
+            if now - swept >= SWEEP_S:
+                swept = now
+                self._sweep(now)
+                self.ledger.tidy()
+
+    def _sweep(self, now: float) -> None:
+        limit = 0.0 if self.closing else self.driver.idle / 1e6
+        with self.lock:
+            for connection in self.connections.values():
+                if connection.idle_since and (self.closing or limit and now - connection.idle_since > limit):
+                    self.counters.add("clients.idle_closed")
+                    self._hang_up(connection)
+
+    # One connection
+
+    def _connection(self, connection: Connection) -> None:
+        sock, buffer = connection.sock, self.pool.take()
+        try:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            stream = Stream(sock, buffer)
+            while stream.more(None) if stream.empty() else True:
+                connection.idle_since = 0.0
+                if not self._message(connection, stream):
+                    break
+                connection.idle_since = time.monotonic()
+        except (OSError, Broken):
+            self.counters.add("clients.broken")
+        except Exception:
+            self.counters.add("clients.crashed")
+            self.log.exception("a connection's thread failed")
+        finally:
+            self.pool.give_back(buffer)
+            self._end(connection)
+
+    def _message(self, connection: Connection, stream: Stream) -> bool:
+        """Reads and answers one message; whether the connection stays open."""
+        keep = False
+        try:
+            request = read_request(stream, time.monotonic() + SLOW_S)
+            keep = request.keep
+            answer = self._answer(connection, request)
+        except Bad as bad:
+            keep, answer = False, (bad.status, {}, b"")
+            self.counters.add(f"clients.bad.{bad.status}")
+            self.log.warning("bad message from a client", status=bad.status, why=str(bad))
+        except TimeoutError:
+            self.counters.add("clients.slow")
+            answer = (408, {}, b"")
+        if answer is None:
+            return False
+        keep = keep and not self.closing
+        status, fields, body = answer
+        said = self.driver.said
+        if said is not None:
+            fields["X-Load-Signal"] = f"{said:.6g}"
+        connection.sock.settimeout(SLOW_S)
+        connection.sock.sendall(write_response(status, fields, body, keep))
+        self.counters.add(f"clients.answers.{status}")
+        return keep
+
+    def _answer(self, connection: Connection, request: Request) -> Answer | None:
+        if request.path == "/status/live":
+            if request.verb != "GET":
+                raise Bad(405, "health checks are asked by GET")
+            return self._health("deep=1" in request.query.split("&"))
+        prefix, _, name = request.path.rpartition("/")
+        if prefix != "/svc" or name not in self.methods:
+            raise Bad(404, "an unknown path or method")
+        if request.verb != "POST":
+            raise Bad(405, "RPCs come by POST")
+        return self._rpc(connection, request, name)
+
+    def _health(self, deep: bool) -> Answer:
+        self.counters.add("clients.checks")
+        healthy = self.driver.healthy
+        return (200 if healthy and (not deep or self.link.smoke(DEEP_S)) else 503), {}, b""
+
+    # One RPC, from top to bottom
+
+    def _rpc(self, connection: Connection, request: Request, name: str) -> Answer | None:
+        given, method = rpc_fields(request.fields), self.methods[name]
+        if method.kind is Kind.TOKENED and given.token is None:
+            raise Bad(400, "idempotency-key is missing")
+        waited = max(0, clock() - given.start_ms * 1000)
+        patience = max(1, given.timeout_ms * 1000 - waited) if given.timeout_ms is not None else 0
+        rpc = Rpc(method, given.caller, None, given.memory_kb, patience, waited, given.further)
+        token = (name, given.token) if method.kind is Kind.TOKENED and given.token else None
+        exchange = Exchange(rpc, given.ident, name, request.body, token)
+        if not self.driver.arrived(exchange):
+            raise Bad(400, "x-request-id is that of an open RPC")
+        self.counters.add("rpc.read")
+        self._watch(connection, exchange)
+        try:
+            latest = (patience or method.deadline) / 1e6 + OVERDUE_S
+            while True:
+                word = exchange.mailbox.get(timeout=latest)
+                if isinstance(word, Gone):
+                    return None
+                if isinstance(word, Ended):
+                    good = word.outcome is Outcome.OK
+                    self.counters.add("rpc.ok" if good else "rpc.aborted")
+                    return (200, {}, word.result) if good else (500, {}, b"")
+                match word.do:
+                    case Do.PUSH_BACK:
+                        self.counters.add("rpc.pushed_back")
+                        fields = {"Retry-After-Ms": str(-(-word.span // 1000))} if word.span > 0 else {}
+                        return 503, fields | ({"X-Dont-Retry": "1"} if word.flag else {}), b""
+                    case Do.ABORT:
+                        self.counters.add("rpc.aborted")
+                        return 500, {}, b""
+                    case Do.START:
+                        self.link.apply(exchange.ident, name, request.body)
+                    case Do.CALL:
+                        self._call(exchange, word.span)
+                    case Do.SKIP:
+                        self.link.stub(exchange.ident, exchange.at_call[0])
+                    case Do.JOIN:
+                        self.driver.join(exchange)
+                    case Do.HALT:
+                        self.link.halt(exchange.ident)
+        except Empty:
+            self.log.error("an RPC got no word in time", rpc=exchange.ident, place=rpc.place)
+            return 500, {}, b""
+        finally:
+            self._unwatch(connection)
+            self.driver.left(exchange)
+
+    def _call(self, exchange: Exchange, span: int) -> None:
+        begun = clock()
+        outcome, reply = self.ledger.post(exchange.ident, span, exchange.at_call[1],
+                                          lambda cancel: self.driver.calling(exchange, cancel))
+        if self.driver.called(exchange, outcome, clock() - begun) and outcome is Outcome.OK:
+            self.link.resolve(exchange.ident, reply)
+
+    def _watch(self, connection: Connection, exchange: Exchange) -> None:
+        with self.lock:
+            connection.exchange = exchange
+        self.epoll.register(connection.sock.fileno(), select.EPOLLRDHUP | select.EPOLLONESHOT)
+
+    def _unwatch(self, connection: Connection) -> None:
+        self.epoll.unregister(connection.sock.fileno())
+        with self.lock:
+            connection.exchange = None
--- /dev/null
+++ b/hollystage/service/driver.py
@@ -0,0 +1,263 @@
+"""The sole owner of the decision module and of its lock; nothing here knows a protocol or touches a socket.
+
+Every event takes the lock, tells the module, takes its actions and hands them on: to the mailbox of the RPC's
+thread, to the link's queue or to the state below. A run that outlives its answer stays here until it ends.
+"""
+from __future__ import annotations
+
+import threading
+import time
+from collections.abc import Callable
+from queue import SimpleQueue
+from typing import Protocol
+
+from ..control import Control
+from ..interface import Action, Do, Outcome, Rpc, Settings
+from .counters import Counters
+from .tokens import Ended, Token, Tokens
+
+ASK_AHEAD = 10_000  # the gauges are asked for so long before the module's timer
+STALE = 1_000_000  # gauges older than this tell nothing
+
+
+class Engine(Protocol):
+    """Where RPCs run; commands only join a queue."""
+
+    def apply(self, ident: str, method: str, payload: bytes) -> None: ...
+    def halt(self, ident: str) -> None: ...
+    def resolve(self, ident: str, payload: bytes) -> None: ...
+    def stub(self, ident: str, offset: int) -> None: ...
+    def ask_gauges(self) -> None: ...
+
+
+class Gone:
+    """The caller has closed."""
+
+
+GONE = Gone()
+Word = Action | Ended | Gone
+
+
+class Exchange:
+    """One RPC, between the thread that serves it, the module and its run."""
+
+    __slots__ = ("rpc", "ident", "method", "body", "token", "earlier", "mailbox", "served", "ended",
+                 "at_call", "cancel")
+
+    def __init__(self, rpc: Rpc, ident: str, method: str, body: bytes, token: Token | None) -> None:
+        self.rpc, self.ident, self.method, self.body, self.token = rpc, ident, method, body, token
+        self.earlier: Exchange | None = None
+        self.mailbox: SimpleQueue[Word] = SimpleQueue()
+        self.served = True  # its thread is still there
+        self.ended = False  # its run is over
+        self.at_call: tuple[int, bytes] = (0, b"")
+        self.cancel: Callable[[], None] | None = None  # gives up the call below that the thread is in
+
+    @property
+    def open(self) -> bool:
+        return self.rpc.life is not None
+
+    def post(self, word: Word) -> None:
+        self.mailbox.put(word)
+        if self.cancel is not None:
+            self.cancel()
+
+
+def clock() -> int:
+    return time.time_ns() // 1000
+
+
+class Driver:
+    def __init__(self, settings: Settings, seed: int, counters: Counters) -> None:
+        self.settings, self.seed, self.counters = settings, seed, counters
+        self.lock = threading.Lock()
+        self.engine: Engine
+        self.exchanges: dict[str, Exchange] = {}
+        self.of: dict[Rpc, Exchange] = {}
+        self.tokens = Tokens(max(method.deadline for method in settings.methods))
+        self.gauges: dict[str, float] = {}
+        self.gauges_at = 0
+        self.said: float | None = None  # the free value
+        self.healthy, self.idle, self.next_tick = True, settings.longest_idle, clock()
+        self.leaving_until = 0
+        self.changed = threading.Event()  # health
+        self.stopped = False
+        self.used = False
+        self.control = Control(settings, seed, clock())
+        self._settle(clock())
+
+    # What the connection threads tell
+
+    def arrived(self, exchange: Exchange) -> bool:
+        """False where an RPC of this id is open."""
+        with self.lock:
+            if exchange.ident in self.exchanges:
+                return False
+            rpc, self.used = exchange.rpc, True
+            if exchange.token is not None:
+                earlier = self.tokens.earlier(exchange.token)
+                if earlier is not None and (earlier.rpc.ran or earlier.open):
+                    rpc.earlier, exchange.earlier = earlier.rpc, earlier
+            self.exchanges[exchange.ident] = self.of[rpc] = exchange
+            now = clock()
+            self.control.arrived(rpc, now)
+            self._settle(now)
+        return True
+
+    def gone(self, exchange: Exchange) -> None:
+        with self.lock:
+            if exchange.served and not exchange.rpc.answered:
+                self.counters.add("rpc.gone")
+                exchange.post(GONE)
+                now = clock()
+                self.control.gone(exchange.rpc, now)
+                self._settle(now)
+
+    def left(self, exchange: Exchange) -> None:
+        """The thread is done with the RPC; what its mailbox still holds and all that follows is done here."""
+        with self.lock:
+            exchange.served, exchange.cancel = False, None
+            while not exchange.mailbox.empty():
+                word = exchange.mailbox.get()
+                if isinstance(word, Action) and word.do is Do.HALT:
+                    self.engine.halt(exchange.ident)
+            self._drop(exchange)
+
+    def calling(self, exchange: Exchange, cancel: Callable[[], None] | None) -> bool:
+        """Names what gives up the call below; False where the RPC has got other news already."""
+        with self.lock:
+            exchange.cancel = cancel if exchange.mailbox.empty() else None
+            return exchange.cancel is not None
+
+    def called(self, exchange: Exchange, outcome: Outcome, spent: int) -> bool:
+        """False where the call no longer matters: its run or its RPC is over."""
+        with self.lock:
+            if exchange.ended or exchange.rpc.answered or outcome is Outcome.MOOT:
+                return False
+            now = clock()
+            self.control.called(exchange.rpc, outcome, spent, now)
+            self._settle(now)
+            return True
+
+    def join(self, exchange: Exchange) -> None:
+        with self.lock:
+            if exchange.rpc.answered or exchange.earlier is None:
+                return
+            end = self.tokens.join(exchange, exchange.earlier)
+            if end is not None:
+                self._joined(exchange, end)
+
+    # What the link tells
+
+    def up(self, cold: bool, age: int) -> None:
+        with self.lock:
+            if not self.used:
+                # what the cores are counts from their start, which may be long after this process's
+                self.settings.cold = cold
+                now = clock()
+                self.control = Control(self.settings, self.seed, now - age)
+                self._settle(now)
+
+    def at_call(self, ident: str, offset: int, payload: bytes) -> None:
+        with self.lock:
+            exchange = self._find(ident)
+            if exchange is not None:
+                exchange.at_call = offset, payload
+                now = clock()
+                self.control.at_call(exchange.rpc, now)
+                self._settle(now)
+
+    def finished(self, ident: str, outcome: Outcome, spent: int, result: bytes) -> None:
+        with self.lock:
+            exchange = self._find(ident)
+            if exchange is None:
+                return
+            exchange.ended, owed = True, not exchange.rpc.answered
+            now = clock()
+            end = Ended(outcome, result)
+            self.control.finished(exchange.rpc, outcome, spent, now)
+            if owed:
+                exchange.post(end)
+            for waiting in self.tokens.ended(exchange, end):
+                self._joined(waiting, end)
+            self._settle(now)
+            self._drop(exchange)
+
+    def measured(self, values: list[float]) -> None:
+        with self.lock:
+            self.gauges = dict(zip(self.settings.gauges, values, strict=False))
+            self.gauges_at = clock()
+
+    # The life of the process
+
+    def leaving(self, left: int) -> None:
+        with self.lock:
+            now = clock()
+            self.leaving_until = now + left
+            self.control.leaving(left, now)
+            self._settle(now)
+
+    def tick_forever(self) -> None:
+        while not self.stopped:
+            time.sleep(max(0, self.next_tick - ASK_AHEAD - clock()) / 1e6)
+            self.engine.ask_gauges()
+            time.sleep(max(0, self.next_tick - clock()) / 1e6)
+            with self.lock:
+                now = clock()
+                if now < self.next_tick:
+                    continue
+                self.control.tick(self.gauges if now - self.gauges_at < STALE else {}, now)
+                self._settle(now)
+                self.tokens.expire(now)
+
+    # Under the lock
+
+    def _settle(self, now: int) -> None:
+        for action in self.control.decide(now):
+            if action.rpc is None:
+                self._turn(action, now)
+                continue
+            exchange = self.of.get(action.rpc)
+            if exchange is None:
+                continue
+            if action.do is Do.KEEP:
+                self.tokens.keep(exchange, action.span, now)
+            elif action.do is Do.FORGET:
+                self.tokens.forget(exchange)
+            elif exchange.served:
+                exchange.post(action)
+            elif action.do is Do.HALT:
+                self.engine.halt(exchange.ident)
+
+    def _turn(self, action: Action, now: int) -> None:
+        if action.do is Do.TIMER:
+            self.next_tick = now + action.span
+        elif action.do is Do.SAY:
+            self.said = action.value
+        elif action.do is Do.IDLE:
+            self.idle = action.span
+        elif action.do is Do.HEALTH and self.healthy is not action.flag:
+            self.healthy = action.flag
+            self.changed.set()
+
+    def _joined(self, exchange: Exchange, end: Ended) -> None:
+        if exchange.rpc.answered:
+            return
+        now = clock()
+        # a run that was stopped serves nobody who waits for it
+        outcome = Outcome.OK if end.outcome is Outcome.OK else Outcome.ERROR
+        self.control.finished(exchange.rpc, outcome, now - exchange.rpc.since, now)
+        exchange.post(Ended(outcome, end.result))
+        self._settle(now)
+
+    def _find(self, ident: str) -> Exchange | None:
+        exchange = self.exchanges.get(ident)
+        if exchange is None or exchange.ended:
+            self.counters.add("interpreter.unknown")
+            return None
+        return exchange
+
+    def _drop(self, exchange: Exchange) -> None:
+        if not exchange.served and not exchange.open:
+            self.exchanges.pop(exchange.ident, None)
+            self.of.pop(exchange.rpc, None)
--- /dev/null
+++ b/hollystage/service/http.py
@@ -0,0 +1,164 @@
+"""Messages of HTTP/1.1, as far as the service speaks it: read from a stream, written as bytes."""
+from __future__ import annotations
+
+import re
+from typing import NamedTuple
+
+from .buffers import Broken, Stream, TooLong
+
+HEAD, REQUEST_BODY, RESPONSE_BODY = 8 * 1024, 2 * 1024, 8 * 1024
+REQUEST_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+) ([\x21-\x7e]+) HTTP/1\.([01])\r\n")
+STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
+FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r\n")
+ONCE = {"content-length", "host", "transfer-encoding", "x-request-id", "x-request-start", "x-caller",
+        "x-timeout-ms", "x-retry", "x-memory-kb", "idempotency-key"}  # two of these could be read two ways
+REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+           408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
+           417: "Expectation Failed", 431: "Request Header Fields Too Large",
+           500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+class Bad(Exception):
+    """A message that cannot be taken; `status` answers it where an answer is owed."""
+
+    def __init__(self, status: int, why: str) -> None:
+        super().__init__(why)
+        self.status = status
+
+
+class Request(NamedTuple):
+    verb: str
+    path: str
+    query: str
+    fields: dict[str, str]
+    body: bytes
+    keep: bool  # whether the connection may stay open
+
+
+class Response(NamedTuple):
+    status: int
+    fields: dict[str, str]
+    body: bytes
+    keep: bool
+
+
+class RpcFields(NamedTuple):
+    """What the headers of an RPC say."""
+
+    ident: str
+    start_ms: int
+    caller: int
+    timeout_ms: int | None
+    further: bool
+    memory_kb: float
+    token: str | None
+
+
+def _fields(head: bytes, at: int) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    while at < len(head) - 2:
+        match = FIELD.match(head, at)
+        if match is None:
+            raise Bad(400, "a malformed header field")
+        name, value = match[1].decode("ascii").lower(), match[2].decode("latin-1")
+        if name in fields:
+            if name in ONCE:
+                raise Bad(400, f"two fields {name}")
+            value = f"{fields[name]}, {value}"
+        fields[name] = value
+        at = match.end()
+    return fields
+
+
+def _length(fields: dict[str, str], limit: int) -> int:
+    if "transfer-encoding" in fields:
+        raise Bad(411, "a body without a stated length")
+    text = fields.get("content-length", "0")
+    if not text.isascii() or not text.isdigit():
+        raise Bad(400, "a malformed Content-Length")
+    if len(text.lstrip("0")) > 9 or int(text) > limit:
+        raise Bad(413, "a body over the limit")
+    return int(text)
+
+
+def _keeps(minor: bytes, fields: dict[str, str]) -> bool:
+    words = {word.strip() for word in fields.get("connection", "").lower().split(",")}
+    return "close" not in words and (minor == b"1" or "keep-alive" in words)
+
+
+def read_request(stream: Stream, until: float) -> Request:
+    try:
+        head = stream.upto(b"\r\n\r\n", HEAD, until)
+    except TooLong:
+        raise Bad(431, "a head over the limit") from None
+    match = REQUEST_LINE.match(head)
+    if match is None:
+        raise Bad(400, "a malformed request line")
+    fields = _fields(head, match.end())
+    size = _length(fields, REQUEST_BODY)
+    if "expect" in fields:
+        raise Bad(417, "an Expect field")
+    body = stream.exactly(size, until)
+    path, _, query = match[2].decode("ascii").partition("?")
+    return Request(match[1].decode("ascii"), path, query, fields, body, _keeps(match[3], fields))
+
+
+def read_response(stream: Stream, until: float) -> Response:
+    """Any malformed response is Bad; one that breaks off is Broken."""
+    try:
+        head = stream.upto(b"\r\n\r\n", HEAD, until)
+        match = STATUS_LINE.match(head)
+        if match is None:
+            raise Bad(400, "a malformed status line")
+        fields, status = _fields(head, match.end()), int(match[2])
+        bare = status == 204 or "content-length" not in fields and "transfer-encoding" not in fields
+        if bare and status != 204:
+            raise Bad(411, "a response without a stated length")
+        body = b"" if bare else stream.exactly(_length(fields, RESPONSE_BODY), until)
+    except TooLong:
+        raise Bad(431, "a head over the limit") from None
+    return Response(status, fields, body, _keeps(match[1], fields))
+
+
+def rpc_fields(fields: dict[str, str]) -> RpcFields:
+    """Checks the headers of an RPC.
+
+    >>> given = {"x-request-id": "9b1f03aa5c7e2d41", "x-request-start": "1764576000123", "x-caller": "4"}
+    >>> rpc_fields(given | {"x-memory-kb": "24.5", "x-retry": "1"})[2:]
+    (4, None, True, 24.5, None)
+    >>> rpc_fields(given | {"x-memory-kb": "2000"})
+    Traceback (most recent call last):
+    hollystage.service.http.Bad: x-memory-kb is missing or malformed
+    """
+    def want(name: str, form: str, default: str | None = None) -> str:
+        text = fields.get(name, default)
+        if text is None or not re.fullmatch(form, text, re.ASCII):
+            raise Bad(400, f"{name} is missing or malformed")
+        return text
+
+    memory = float(want("x-memory-kb", r"\d{1,4}(\.\d{1,12})?"))
+    if not 0 < memory < 2000:
+        raise Bad(400, "x-memory-kb is missing or malformed")
+    timeout = want("x-timeout-ms", r"\d{1,9}", "") if "x-timeout-ms" in fields else None
+    token = want("idempotency-key", r"[\x21-\x7e]{1,128}") if "idempotency-key" in fields else None
+    return RpcFields(want("x-request-id", r"[0-9A-Za-z]{16}"), int(want("x-request-start", r"\d{1,15}")),
+                     int(want("x-caller", r"\d{1,9}")), None if timeout is None else int(timeout),
+                     want("x-retry", r"\d", "0") != "0", memory, token)
+
+
+def write_response(status: int, fields: dict[str, str], body: bytes, keep: bool) -> bytes:
+    lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    if not keep:
+        lines.append("Connection: close")
+    return "\r\n".join([*lines, "\r\n"]).encode("ascii") + body
+
+
+def write_request(verb: str, path: str, host: str, fields: dict[str, str], body: bytes) -> bytes:
+    lines = [f"{verb} {path} HTTP/1.1", f"Host: {host}", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join([*lines, "\r\n"]).encode("ascii") + body
+
+
+__all__ = ["Bad", "Broken", "Request", "Response", "RpcFields", "read_request", "read_response", "rpc_fields",
+           "write_request", "write_response"]
--- /dev/null
+++ b/hollystage/service/instance.py
@@ -0,0 +1,56 @@
+"""One service instance, put together from its parts; other programs may embed it."""
+from __future__ import annotations
+
+import threading
+import time
+from typing import Any
+
+from ..settings import translate
+from .buffers import Pool
+from .clients import Clients
+from .config import Config
+from .counters import Counters
+from .driver import Driver
+from .interpreter import Link
+from .ledger import Ledger
+from .registry import Registry
+
+STACK = 256 * 1024
+MARGIN_S = 0.1  # before the kill
+
+
+class Instance:
+    def __init__(self, config: Config, log: Any) -> None:
+        self.config, self.log = config, log
+        self.counters, pool = Counters(), Pool()
+        sockets = config.limits.sockets
+        self.driver = Driver(translate(config.settings), int(config.seed, 16), self.counters)
+        self.link = Link(config.address("vm"), self.driver, pool, self.counters, log)
+        self.driver.engine = self.link
+        self.ledger = Ledger(config.address("ledger"), sockets // 8, pool, self.counters, log)
+        self.registry = Registry(config.address("control"), config.name, self.driver, pool, self.counters,
+                                 log)
+        names = [profile.name for profile in config.settings.profiles]
+        self.clients = Clients(config.address("listen"), names, self.driver, self.link, self.ledger,
+                               sockets // 2 + sockets // 16, pool, self.counters, log)
+
+    def start(self) -> None:
+        before = threading.stack_size(STACK)
+        for target in (self.link.write_forever, self.link.read_forever, self.driver.tick_forever,
+                       self.clients.watch_forever, self.clients.accept_forever, self.registry.report_forever):
+            threading.Thread(target=target, name=target.__qualname__, daemon=True).start()
+        if not before:
+            threading.stack_size(STACK)
+        self.log.info("serving", listen=self.config.listen)
+
+    def drain(self) -> None:
+        """Leaves: serves through the grace, then takes nothing new; returns once all is answered."""
+        begun, left = time.monotonic(), self.config.stop_ms / 1000
+        self.log.info("draining", stop_ms=self.config.stop_ms)
+        self.driver.leaving(int(left * 1e6))
+        grace = min(self.driver.settings.drain_grace / 1e6, left - 5 * MARGIN_S)
+        time.sleep(max(0.0, begun + grace - time.monotonic()))
+        self.clients.close()
+        while self.clients.count() and time.monotonic() - begun < left - MARGIN_S:
+            time.sleep(0.01)
+        self.log.info("drained", connections=self.clients.count(), **self.counters.read())
--- /dev/null
+++ b/hollystage/service/log.py
@@ -0,0 +1,49 @@
+"""The log: one line an event on standard error, by structlog."""
+from __future__ import annotations
+
+import sys
+import threading
+import time
+
+import structlog
+from structlog.typing import EventDict
+
+EACH_S, BURST = 1.0, 5  # of one event, so many lines a second: guards the log against hostile input
+
+
+class Bounded:
+    """Drops what repeats too often, and says how many were dropped with the next line of its kind."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.seen: dict[str, tuple[float, int]] = {}
+
+    def __call__(self, _: object, level: str, event: EventDict) -> EventDict:
+        kind, now = str(event.get("event")), time.monotonic()
+        with self.lock:
+            since, count = self.seen.get(kind, (now, 0))
+            if now - since > EACH_S:
+                if count > BURST:
+                    event["left_out"] = count - BURST
+                since, count = now, 0
+            self.seen[kind] = since, count + 1
+        if count >= BURST and level not in ("error", "critical"):
+            raise structlog.DropEvent
+        return event
+
+
+def setup(name: str) -> structlog.typing.FilteringBoundLogger:
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            Bounded(),
+            structlog.processors.TimeStamper(fmt="iso", utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"],
+                                                bool_as_flag=False),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger("info"),
+        logger_factory=structlog.WriteLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True)
+    log: structlog.typing.FilteringBoundLogger = structlog.get_logger().bind(instance=name)
+    return log
