--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -46,7 +46,7 @@
         self.lock = threading.Lock()
         self.connections: dict[int, Connection] = {}
         self.most, self.room = most, threading.Semaphore(most)
-        self.closing = False
+        self.closing = self.stopped = False
         self.epoll = select.epoll()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -55,9 +55,10 @@
 
     def accept_forever(self) -> None:
         while not self.closing:
-            if not self.room.acquire(timeout=SWEEP_S):
+            if not self.room.acquire(blocking=False):
                 self._make_room()
-                continue
+                if not self.room.acquire(timeout=SWEEP_S):
+                    continue
             try:
                 sock, _ = self.listener.accept()
             except OSError as bad:
@@ -113,10 +114,18 @@
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
+    def stop(self) -> None:
+        """Ends every connection, whatever is open on it."""
+        self.stopped = True
+        with self.lock:
+            for connection in self.connections.values():
+                with contextlib.suppress(OSError):
+                    connection.sock.shutdown(socket.SHUT_RDWR)
+
     def watch_forever(self) -> None:
         """Tells of callers that close while their RPC is open; closes connections past the idle limit."""
         swept = 0.0
-        while True:
+        while not self.stopped:
             events = self.epoll.poll(SWEEP_S)
             for number, _ in events:
                 with self.lock:
@@ -150,11 +159,8 @@
                 if not self._message(connection, stream):
                     break
                 connection.idle_since = time.monotonic()
-        except (OSError, Broken):
+        except OSError:
             self.counters.add("clients.broken")
-        except Exception:
-            self.counters.add("clients.crashed")
-            self.log.exception("a connection's thread failed")
         finally:
             self.pool.give_back(buffer)
             self._end(connection)
@@ -170,16 +176,24 @@
             keep, answer = False, (bad.status, {}, b"")
             self.counters.add(f"clients.bad.{bad.status}")
             self.log.warning("bad message from a client", status=bad.status, why=str(bad))
+        except Broken:
+            self.counters.add("clients.stopped_half_way")
+            answer = (400, {}, b"")  # owed where only the sending side was closed
         except TimeoutError:
             self.counters.add("clients.slow")
             answer = (408, {}, b"")
+        except Exception:
+            # whatever is wrong here, the RPC gets its answer
+            self.counters.add("clients.crashed")
+            self.log.exception("an RPC's thread failed")
+            keep, answer = False, (500, {}, b"")
         if answer is None:
             return False
         keep = keep and not self.closing
         status, fields, body = answer
         said = self.driver.said
         if said is not None:
-            fields["X-Load-Signal"] = f"{said:.6g}"
+            fields["X-Load-Signal"] = f"{said:.4f}"
         connection.sock.settimeout(SLOW_S)
         connection.sock.sendall(write_response(status, fields, body, keep))
         self.counters.add(f"clients.answers.{status}")
@@ -212,7 +226,7 @@
         patience = max(1, given.timeout_ms * 1000 - waited) if given.timeout_ms is not None else 0
         rpc = Rpc(method, given.caller, None, given.memory_kb, patience, waited, given.further)
         token = (name, given.token) if method.kind is Kind.TOKENED and given.token else None
-        exchange = Exchange(rpc, given.ident, name, request.body, token)
+        exchange = Exchange(rpc, given.ident, token)
         if not self.driver.arrived(exchange):
             raise Bad(400, "x-request-id is that of an open RPC")
         self.counters.add("rpc.read")
--- a/hollystage/service/driver.py
+++ b/hollystage/service/driver.py
@@ -41,11 +41,10 @@
 class Exchange:
     """One RPC, between the thread that serves it, the module and its run."""
 
-    __slots__ = ("rpc", "ident", "method", "body", "token", "earlier", "mailbox", "served", "ended",
-                 "at_call", "cancel")
+    __slots__ = ("rpc", "ident", "token", "earlier", "mailbox", "served", "ended", "at_call", "cancel")
 
-    def __init__(self, rpc: Rpc, ident: str, method: str, body: bytes, token: Token | None) -> None:
-        self.rpc, self.ident, self.method, self.body, self.token = rpc, ident, method, body, token
+    def __init__(self, rpc: Rpc, ident: str, token: Token | None) -> None:
+        self.rpc, self.ident, self.token = rpc, ident, token
         self.earlier: Exchange | None = None
         self.mailbox: SimpleQueue[Word] = SimpleQueue()
         self.served = True  # its thread is still there
@@ -79,10 +78,8 @@
         self.gauges_at = 0
         self.said: float | None = None  # the free value
         self.healthy, self.idle, self.next_tick = True, settings.longest_idle, clock()
-        self.leaving_until = 0
         self.changed = threading.Event()  # health
-        self.stopped = False
-        self.used = False
+        self.stopped = self.used = self.leaving = False
         self.control = Control(settings, seed, clock())
         self._settle(clock())
 
@@ -116,7 +113,7 @@
     def left(self, exchange: Exchange) -> None:
         """The thread is done with the RPC; what its mailbox still holds and all that follows is done here."""
         with self.lock:
-            exchange.served, exchange.cancel = False, None
+            exchange.served, exchange.cancel, exchange.earlier = False, None, None
             while not exchange.mailbox.empty():
                 word = exchange.mailbox.get()
                 if isinstance(word, Action) and word.do is Do.HALT:
@@ -151,7 +148,7 @@
 
     def up(self, cold: bool, age: int) -> None:
         with self.lock:
-            if not self.used:
+            if not self.used and not self.leaving:
                 # what the cores are counts from their start, which may be long after this process's
                 self.settings.cold = cold
                 now = clock()
@@ -190,10 +187,10 @@
 
     # The life of the process
 
-    def leaving(self, left: int) -> None:
+    def leave(self, left: int) -> None:
         with self.lock:
             now = clock()
-            self.leaving_until = now + left
+            self.leaving = True
             self.control.leaving(left, now)
             self._settle(now)
 
--- a/hollystage/service/instance.py
+++ b/hollystage/service/instance.py
@@ -3,6 +3,7 @@
 
 import threading
 import time
+from collections.abc import Callable
 from typing import Any
 
 from ..settings import translate
@@ -35,22 +36,38 @@
                                sockets // 2 + sockets // 16, pool, self.counters, log)
 
     def start(self) -> None:
-        before = threading.stack_size(STACK)
-        for target in (self.link.write_forever, self.link.read_forever, self.driver.tick_forever,
-                       self.clients.watch_forever, self.clients.accept_forever, self.registry.report_forever):
-            threading.Thread(target=target, name=target.__qualname__, daemon=True).start()
-        if not before:
-            threading.stack_size(STACK)
+        threading.stack_size(STACK)  # also of the connections' threads to come
+        for task in (self.link.write_forever, self.link.read_forever, self.driver.tick_forever,
+                     self.clients.watch_forever, self.clients.accept_forever, self.registry.report_forever):
+            threading.Thread(target=self._go_on, args=(task,), name=task.__qualname__, daemon=True).start()
         self.log.info("serving", listen=self.config.listen)
 
+    def _go_on(self, task: Callable[[], None]) -> None:
+        """A task returns once it is stopped; guards all it serves against a fault in the handling of one."""
+        while True:
+            try:
+                return task()
+            except Exception:
+                self.counters.add("instance.faults")
+                self.log.exception("a task failed and goes on", task=task.__qualname__)
+                time.sleep(0.05)
+
     def drain(self) -> None:
         """Leaves: serves through the grace, then takes nothing new; returns once all is answered."""
         begun, left = time.monotonic(), self.config.stop_ms / 1000
         self.log.info("draining", stop_ms=self.config.stop_ms)
-        self.driver.leaving(int(left * 1e6))
+        self.driver.leave(int(left * 1e6))
         grace = min(self.driver.settings.drain_grace / 1e6, left - 5 * MARGIN_S)
         time.sleep(max(0.0, begun + grace - time.monotonic()))
         self.clients.close()
         while self.clients.count() and time.monotonic() - begun < left - MARGIN_S:
             time.sleep(0.01)
         self.log.info("drained", connections=self.clients.count(), **self.counters.read())
+
+    def stop(self) -> None:
+        """Ends all threads and connections at once, for programs that embed the instance."""
+        self.driver.stopped = self.registry.stopped = True
+        self.clients.close()
+        self.clients.stop()
+        self.link.stop()
+        self.driver.changed.set()
--- a/hollystage/service/interpreter.py
+++ b/hollystage/service/interpreter.py
@@ -53,7 +53,7 @@
         self.smokes: dict[str, Smoke] = {}
         self.queue: SimpleQueue[tuple[socket.socket, bytes]] = SimpleQueue()
         self.sock: socket.socket | None = None  # the present link
-        self.synced = False
+        self.synced = self.stopped = False
         self.offset = self.links = self.asked = 0
         self.decoder = msgspec.json.Decoder(Notice)
 
@@ -116,19 +116,30 @@
     # The threads
 
     def write_forever(self) -> None:
-        while True:
+        while not self.stopped:
             sock, line = self.queue.get()
             try:
                 sock.sendall(line)
             except OSError:
-                with contextlib.suppress(OSError):  # the reading thread, its owner, ends the link
-                    sock.shutdown(socket.SHUT_RDWR)
+                self._end(sock)  # the reading thread, its owner, closes it
 
     def read_forever(self) -> None:
-        while True:
+        while not self.stopped:
             self._one_link()
             time.sleep(AGAIN_S)
 
+    def stop(self) -> None:
+        with self.lock:
+            self.stopped = True
+            if self.sock is not None:
+                self._end(self.sock)
+                self._put(b"")  # so that the writing thread sees it
+
+    @staticmethod
+    def _end(sock: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+
     def _one_link(self) -> None:
         try:
             sock = socket.create_connection(self.address, CONNECT_S)
@@ -152,6 +163,7 @@
         finally:
             with self.lock:
                 self.sock, self.synced = None, False
+            self._end(sock)
             sock.close()
             self.pool.give_back(buffer)
 
--- a/hollystage/service/registry.py
+++ b/hollystage/service/registry.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import socket
-import threading
 import time
 from typing import Any
 
@@ -23,10 +22,10 @@
         self.host = f"{address[0]}:{address[1]}"
         self.sock: socket.socket | None = None
         self.buffer = pool.take()
-        self.over = threading.Event()
+        self.stopped = False
 
     def report_forever(self) -> None:
-        while not self.over.is_set():
+        while not self.stopped:
             self.driver.changed.clear()
             good = self._report(self.driver.healthy)
             self.counters.add("registry.reports" if good else "registry.failures")
