A late interpreter gets its runs: the gauges that mark the link as read are asked for at BANNER

The successors' logs show 'declined a command' for TOP: an interpreter that is not up declines it, so the link never counted as read and no run was ever sent (interpreter.py, _one_link). Also: a connection that the kernel took while the drained listener closed was reset (seen in a test's connect, 2 of 5 runs); a socket filter drops what comes in that moment.

--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -2,8 +2,10 @@
 from __future__ import annotations
 
 import contextlib
+import ctypes
 import select
 import socket
+import struct
 import threading
 import time
 from queue import Empty
@@ -24,6 +26,7 @@
 OVERDUE_S = 1.0  # past an RPC's due time: the module must have answered long before
 SWEEP_S = 0.1
 BACKLOG = 512
+ATTACH_FILTER = 26  # Linux; Python has no name for it
 
 Answer = tuple[int, dict[str, str], bytes]
 
@@ -106,6 +109,12 @@
     def close(self) -> None:
         """No new connections; those that wait to be accepted are served, idle ones closed."""
         self.closing = True
+        with contextlib.suppress(OSError):
+            # guards against a connection that the kernel takes between the last accept and the close, which would
+            # reset it with an RPC on it: what comes from here on is dropped, and refused when it comes again
+            drop = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
+            self.listener.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER,
+                                     struct.pack("HP", 1, ctypes.addressof(drop)))
         with contextlib.suppress(OSError):
             self.listener.setblocking(False)
             while True:
--- a/hollystage/service/interpreter.py
+++ b/hollystage/service/interpreter.py
@@ -1,8 +1,9 @@
 """The link to the interpreter: commands out, notices in, and both made good after a break.
 
 Commands of a run are kept until a notice shows that they were heard. On a new link the notices missed come
-first; once the gauges, asked for right after CONNECT, are there, these are all read, and only then are the
-commands of runs that are still open sent again. So no run that is over is ever asked for anew.
+first; once the gauges, asked for behind them, are there, these are all read, and only then are the
+commands of runs that are still open sent again. So no run that is over is ever asked for anew. An interpreter
+that is not up yet declines to tell its gauges: they are asked for at its BANNER.
 """
 from __future__ import annotations
 
@@ -154,7 +155,6 @@
                 self.links += 1
                 self.sock, self.synced, marker = sock, False, f"all-{self.links}"
                 self._send({"cmd": "CONNECT", "offset": self.offset})
-                self._send({"cmd": "TOP", "token": marker})
             self.counters.add("interpreter.links")
             self._read(Stream(sock, buffer), marker)
         except (OSError, Broken, TooLong, Garbage, msgspec.DecodeError) as bad:
@@ -203,6 +203,8 @@
             case "BANNER":
                 self.log.info("interpreter is up", start=notice.result, age_ms=notice.elapsed_ms)
                 self.driver.up(notice.result == "new", int(notice.elapsed_ms * 1000))
+                with self.lock:
+                    self._send({"cmd": "TOP", "token": marker})
             case "SMOKED":
                 smoke = self.smokes.get(notice.token)
                 if smoke is not None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -156,11 +156,10 @@
             with self.lock:
                 self.heard.append(command)
                 if command["cmd"] == "CONNECT":
-                    until(lambda: self.banner)
-                    self.sock = sock
-                    self.write({"cmd": "BANNER", "result": self.banner, "elapsed_ms": 60000})
-                    for notice in self.notices[command["offset"]:]:
-                        self.write(notice)
+                    self.sock, self.offset = sock, command["offset"]
+                    self.come_up(self.banner)
+                elif not self.banner:
+                    self.write({"cmd": "ERROR", "result": command["cmd"], "req": command.get("token", "")})
                 elif command["cmd"] == "TOP" and self.top:
                     self.write({"cmd": "TOPS", "token": command["token"], "load": self.load})
                 elif command["cmd"] == "SMOKE" and self.top:
@@ -168,6 +167,12 @@
             if command["cmd"] == "APPLY" and self.auto:
                 self.end(command["req"], b"ran " + base64.b64decode(command["payload"]))
 
+    def come_up(self, banner):
+        self.banner = banner
+        if banner:
+            for notice in ({"cmd": "BANNER", "result": banner, "elapsed_ms": 0}, *self.notices[self.offset:]):
+                self.write(notice)
+
     def write(self, notice):
         data = json.dumps(notice).encode() + b"\n"
         for part in (data[:self.piece], data[self.piece:]) if self.piece else (data,):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -163,7 +163,10 @@
         assert get(caller, "/status/live") == 200
         if late == "listening":
             interpreter.listen()
-        interpreter.banner = "new"
+        else:
+            until(lambda: interpreter.got("CONNECT"))
+            time.sleep(0.1)
+            interpreter.come_up("new")
         until(lambda: world.instance.link.synced)
         assert world.instance.driver.settings.cold and caller.ask().status == 200
 
