--- a/hollystage/cli.py
+++ b/hollystage/cli.py
@@ -4,11 +4,11 @@
 import os
 import signal
 import sys
-from importlib.metadata import PackageNotFoundError, version
 from typing import Annotated
 
 import typer
 
+from . import __version__
 from .settings import Faulty
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
@@ -57,10 +57,7 @@
 @app.command("version")
 def print_version() -> None:
     """Print the version."""
-    try:
-        typer.echo(version("hollystage"))
-    except PackageNotFoundError:
-        typer.echo("not installed")
+    typer.echo(__version__)
 
 
 def _fail(message: str) -> None:
--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -24,7 +24,7 @@
 SLOW_S = 5.0  # from the first byte of a message to its last, and for an answer to be taken
 DEEP_S = 1.0  # for the interpreter to show that work gets done
 OVERDUE_S = 1.0  # past an RPC's due time: the module must have answered long before
-SWEEP_S = 0.1
+SWEEP_S, AGAIN_S = 0.1, 0.01
 BACKLOG = 512
 ATTACH_FILTER = 26  # Linux; Python has no name for it
 
@@ -66,9 +66,11 @@
                 sock, _ = self.listener.accept()
             except OSError as bad:
                 self.room.release()
-                if not self.closing:
+                if not self.closing:  # no descriptor, most likely
+                    self.counters.add("clients.not_accepted")
                     self.log.warning("no connection could be accepted", why=str(bad))
-                    time.sleep(SWEEP_S)
+                    self._make_room()
+                    time.sleep(AGAIN_S)
                 continue
             self._begin(sock)
 
@@ -110,8 +112,8 @@
         """No new connections; those that wait to be accepted are served, idle ones closed."""
         self.closing = True
         with contextlib.suppress(OSError):
-            # guards against a connection that the kernel takes between the last accept and the close, which would
-            # reset it with an RPC on it: what comes from here on is dropped, and refused when it comes again
+            # guards against a connection that the kernel takes between the last accept and the close, which
+            # would reset it with an RPC on it: what comes now is dropped, and refused when it comes again
             drop = ctypes.create_string_buffer(struct.pack("HBBI", 6, 0, 0, 0))
             self.listener.setsockopt(socket.SOL_SOCKET, ATTACH_FILTER,
                                      struct.pack("HP", 1, ctypes.addressof(drop)))
@@ -231,7 +233,7 @@
         given, method = rpc_fields(request.fields), self.methods[name]
         if method.kind is Kind.TOKENED and given.token is None:
             raise Bad(400, "idempotency-key is missing")
-        waited = max(0, clock() - given.start_ms * 1000)
+        waited = max(0, time.time_ns() // 1000 - given.start_ms * 1000)
         patience = max(1, given.timeout_ms * 1000 - waited) if given.timeout_ms is not None else 0
         rpc = Rpc(method, given.caller, None, given.memory_kb, patience, waited, given.further)
         token = (name, given.token) if method.kind is Kind.TOKENED and given.token else None
@@ -239,8 +241,8 @@
         if not self.driver.arrived(exchange):
             raise Bad(400, "x-request-id is that of an open RPC")
         self.counters.add("rpc.read")
-        self._watch(connection, exchange)
         try:
+            self._watch(connection, exchange)
             latest = (patience or method.deadline) / 1e6 + OVERDUE_S
             while True:
                 word = exchange.mailbox.get(timeout=latest)
@@ -288,6 +290,7 @@
         self.epoll.register(connection.sock.fileno(), select.EPOLLRDHUP | select.EPOLLONESHOT)
 
     def _unwatch(self, connection: Connection) -> None:
-        self.epoll.unregister(connection.sock.fileno())
+        with contextlib.suppress(OSError):
+            self.epoll.unregister(connection.sock.fileno())
         with self.lock:
             connection.exchange = None
--- a/hollystage/service/driver.py
+++ b/hollystage/service/driver.py
@@ -62,8 +62,12 @@
             self.cancel()
 
 
+STARTED = time.time_ns() - time.monotonic_ns()
+
+
 def clock() -> int:
-    return time.time_ns() // 1000
+    """Microseconds of the Unix clock as at the start: one that is set must not stop the timer."""
+    return (STARTED + time.monotonic_ns()) // 1000
 
 
 class Driver:
--- a/hollystage/service/instance.py
+++ b/hollystage/service/instance.py
@@ -1,6 +1,7 @@
 """One service instance, put together from its parts; other programs may embed it."""
 from __future__ import annotations
 
+import resource
 import threading
 import time
 from collections.abc import Callable
@@ -24,7 +25,7 @@
     def __init__(self, config: Config, log: Any) -> None:
         self.config, self.log = config, log
         self.counters, pool = Counters(), Pool()
-        sockets = config.limits.sockets
+        sockets = min(config.limits.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
         self.driver = Driver(translate(config.settings), int(config.seed, 16), self.counters)
         self.link = Link(config.address("vm"), self.driver, pool, self.counters, log)
         self.driver.engine = self.link
--- a/hollystage/service/ledger.py
+++ b/hollystage/service/ledger.py
@@ -36,9 +36,14 @@
         limit_ms = max(1, limit_us // 1000)
         if not self.room.acquire(blocking=False):
             return self._count(Outcome.FULL), b""  # more than the descriptors allow
-        sock, buffer, keep = self._kept(), self.pool.take(), False
-        fresh = sock is None
-        sock = sock or socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock = self._kept()
+            fresh = sock is None
+            sock = sock or socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError:  # no descriptor: nothing was sent
+            self.room.release()
+            return self._count(Outcome.FULL), b""
+        buffer, keep = self.pool.take(), False
         try:
             if not begin(lambda: _give_up(sock)):
                 return self._count(Outcome.CANCELLED), b""
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,5 +1,6 @@
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -444,6 +445,47 @@
     assert caller.answer().status == 500 and started.wait(2) == 0 and time.monotonic() - begun < 1.5
 
 
+def test_half_of_the_descriptors_taken_by_clients_that_are_slow_or_idle(process):
+    started, world = process
+    crowd = [world.caller() for _ in range(510)]
+    for caller in crowd[::2]:
+        caller.sock.sendall(RPC[:100])
+    caller = world.caller().send("order")
+    world.interpreter.end(world.interpreter.applied()[0], b"served")
+    assert caller.answer().body == b"served"
+    status = dict(line.split(":", 1) for line in open(f"/proc/{started.pid}/status"))
+    assert int(status["VmRSS"].split()[0]) < 100_000 and int(status["Threads"]) > 500
+    busy = sum(map(int, open(f"/proc/{started.pid}/stat").read().split()[13:15]))
+    time.sleep(0.5)
+    assert sum(map(int, open(f"/proc/{started.pid}/stat").read().split()[13:15])) - busy < 25  # of 50
+    for caller in crowd:
+        caller.sock.close()
+    crowd = [world.caller() for _ in range(510)]  # all come back at once
+    assert get(world.caller(), "/status/live") == 200
+
+
+def test_accept_that_runs_out_of_descriptors_goes_on(process):
+    started, world = process
+    limit = len(os.listdir(f"/proc/{started.pid}/fd")) + 20
+    resource.prlimit(started.pid, resource.RLIMIT_NOFILE, (limit, limit))
+    crowd = [world.caller() for _ in range(40)]
+    caller = world.caller().send("order")
+    world.interpreter.end(world.interpreter.applied()[0], b"served")
+    assert caller.answer().body == b"served" and any(caller.closed() for caller in crowd[:20])
+
+
+def test_a_clock_that_is_set_stops_nothing(monkeypatch):
+    with World(Interpreter(auto=False)) as world:
+        real = time.time_ns
+        for hours in (-1, 1):
+            caller = world.caller()
+            monkeypatch.setattr(time, "time_ns", lambda hours=hours: real() + hours * 3_600_000_000_000)
+            begun = time.monotonic()
+            start = str(time.time_ns() // 1_000_000)
+            assert caller.ask("order", X_Timeout_Ms="300", X_Request_Start=start).status == 500
+            assert time.monotonic() - begun < 0.5
+
+
 def test_counters_on_request_and_a_second_sigint(process):
     started, world = process
     world.caller().send("order")
