--- a/hollystage/service/http.py
+++ b/hollystage/service/http.py
@@ -4,7 +4,7 @@
 import re
 from typing import NamedTuple
 
-from .buffers import Broken, Stream, TooLong
+from .buffers import Stream, TooLong
 
 HEAD, REQUEST_BODY, RESPONSE_BODY = 8 * 1024, 2 * 1024, 8 * 1024
 REQUEST_LINE = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+) ([\x21-\x7e]+) HTTP/1\.([01])\r\n")
@@ -104,7 +104,7 @@
 
 
 def read_response(stream: Stream, until: float) -> Response:
-    """Any malformed response is Bad; one that breaks off is Broken."""
+    """Any malformed response is Bad."""
     try:
         head = stream.upto(b"\r\n\r\n", HEAD, until)
         match = STATUS_LINE.match(head)
@@ -158,7 +158,3 @@
     lines = [f"{verb} {path} HTTP/1.1", f"Host: {host}", f"Content-Length: {len(body)}"]
     lines += [f"{name}: {value}" for name, value in fields.items()]
     return "\r\n".join([*lines, "\r\n"]).encode("ascii") + body
-
-
-__all__ = ["Bad", "Broken", "Request", "Response", "RpcFields", "read_request", "read_response", "rpc_fields",
-           "write_request", "write_response"]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -108,7 +108,7 @@
 
     def __init__(self, listening=True):
         self.address = free_address()
-        self.heard, self.open = [], []
+        self.heard, self.open, self.ended = [], [], []
         self.ready = threading.Event()
         if listening:
             self.listen()
@@ -127,6 +127,7 @@
     def guarded(self, sock):
         with contextlib.suppress(OSError, Broken):
             self.serve(sock)
+        self.ended.append(sock)
 
     def break_off(self):
         for sock in self.open:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -219,8 +219,11 @@
     with World(Interpreter(auto=False)) as world:
         caller = world.caller().send()
         (ident,) = world.interpreter.applied()
-        world.interpreter.notice("TRACE", "", result="a remark")
-        world.interpreter.notice("VALUE", "feedfeedfeedfeed", result="good", elapsed_ms=1)
+        until(lambda: world.instance.driver.control.busy == 0.1)  # gauges reach the module
+        world.interpreter.sock.sendall(b"".join(json.dumps(notice).encode() + b"\n" for notice in (
+            {"cmd": "TRACE", "offset": 1, "result": "a remark"}, {"cmd": "TRACE", "offset": 2, "new": [1]},
+            {"cmd": "VALUE", "offset": 3, "req": "feedfeedfeedfeed", "result": "good", "elapsed_ms": 1},
+            {"cmd": "VALUE", "offset": 3, "req": ident, "result": "good", "elapsed_ms": 1})))  # read already
         with world.interpreter.lock:
             world.interpreter.write({"cmd": "ERROR", "result": "BREAK", "req": ident})
             world.interpreter.write({"cmd": "ERROR", "result": "APPLY", "req": ident})
@@ -236,6 +239,7 @@
     ("lookup", [reply(504)], ["STUB"], 200),
     ("lookup", [b"nonsense\r\n\r\n"], ["STUB"], 200),
     ("lookup", [b""], ["STUB"], 200),
+    ("lookup", [None], ["STUB"], 200),
     ("lookup", [reply(409, **UNTOUCHED)], [], 200),
     ("order", [reply(503, **UNTOUCHED), reply(200, b"posted")], ["RESOLVE"], 200),
     ("order", [reply(503), reply(200)], [], 500),
@@ -278,6 +282,17 @@
         assert world.count("ledger.ok") == 3 and world.count("ledger.connections") == 2
 
 
+def test_connections_to_the_ledger_are_dropped_before_the_other_side_does(monkeypatch):
+    monkeypatch.setattr("hollystage.service.ledger.KEPT_S", 0.2)
+    with World(Interpreter(auto=False)) as world:
+        caller = world.caller().send()
+        world.interpreter.notice("AWAIT", world.interpreter.applied()[0])
+        until(lambda: world.interpreter.got("RESOLVE") and world.instance.ledger.idle)
+        until(lambda: not world.instance.ledger.idle)
+        until(lambda: len(world.ledger.ended) == 1)
+        caller.sock.close()
+
+
 @pytest.mark.parametrize("how", ["gone", "late"])
 def test_a_call_is_given_up_once_its_rpc_is_over(how):
     with World(Interpreter(auto=False), Answering(None)) as world:
@@ -394,14 +409,20 @@
 
 # The process
 
-@pytest.fixture
-def process(tmp_path):
-    world = World(Interpreter(auto=False))
-    path = tmp_path / "config.json"
+def start(path, world):
     path.write_text(json.dumps(world.given))
     started = subprocess.Popen([sys.executable, "-m", "hollystage", "serve"], stderr=subprocess.PIPE,
                                env={**os.environ, "PROXY_CONFIG": str(path)})
-    until(lambda: world.control.heard and world.interpreter.got("TOP"))
+    until(lambda: world.control.heard)
+    assert get(world.caller(), "/status/live") == 200  # it serves by its first report
+    until(lambda: world.interpreter.got("TOP"))
+    return started
+
+
+@pytest.fixture
+def process(tmp_path):
+    world = World(Interpreter(auto=False))
+    started = start(tmp_path / "config.json", world)
     yield started, world
     started.kill()
     started.stderr.close()
@@ -436,6 +457,23 @@
         return True
 
 
+def test_killed_outright_and_started_anew(process, tmp_path):
+    started, world = process
+    caller = world.caller().send("booking", **TOKEN)
+    world.interpreter.end(world.interpreter.applied()[0], b"before")
+    assert caller.answer().body == b"before"
+    started.kill()
+    started.wait()
+    for heard in (world.interpreter.heard, world.interpreter.notices, world.control.heard):
+        heard.clear()
+    again = start(tmp_path / "config.json", world)
+    caller = world.caller().send("booking", **TOKEN)
+    world.interpreter.end(world.interpreter.applied()[0], b"after")
+    assert caller.answer().body == b"after" and world.interpreter.got("CONNECT")[0]["offset"] == 0
+    again.kill()
+    again.stderr.close()
+
+
 def test_a_drain_ends_in_time_though_runs_do_not(process):
     started, world = process
     caller = world.caller().send("order", X_Timeout_Ms="9000")
