--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -151,7 +151,7 @@
                 self.ledger.tidy()
 
     def _sweep(self, now: float) -> None:
-        limit = 0.0 if self.closing else self.driver.idle / 1e6
+        limit = self.driver.idle / 1e6
         with self.lock:
             for connection in self.connections.values():
                 if connection.idle_since and (self.closing or limit and now - connection.idle_since > limit):
--- a/hollystage/service/config.py
+++ b/hollystage/service/config.py
@@ -14,8 +14,8 @@
     """What the process itself may use."""
 
     cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
-    memory_mb: Annotated[float, msgspec.Meta(ge=64)] = 192
-    sockets: Annotated[int, msgspec.Meta(ge=64)] = 1024
+    memory_mb: Annotated[float, msgspec.Meta(ge=32)] = 192
+    sockets: Annotated[int, msgspec.Meta(ge=32)] = 1024
 
 
 class Config(msgspec.Struct):
