A ledger that is down is not asked without a rest

Seen in a probe of the tests: an 'order' RPC at a ledger that refuses connections called it over a thousand times a second, as the module may and the window's rest is as short as the call.

--- a/hollystage/service/http.py
+++ b/hollystage/service/http.py
@@ -136,7 +136,7 @@
             raise Bad(400, f"{name} is missing or malformed")
         return text
 
-    memory = float(want("x-memory-kb", r"\d{1,4}(\.\d{1,12})?"))
+    memory = float(want("x-memory-kb", r"\d{1,4}(\.\d{1,20})?"))
     if not 0 < memory < 2000:
         raise Bad(400, "x-memory-kb is missing or malformed")
     timeout = want("x-timeout-ms", r"\d{1,9}", "") if "x-timeout-ms" in fields else None
--- a/hollystage/service/interpreter.py
+++ b/hollystage/service/interpreter.py
@@ -158,6 +158,8 @@
             self.counters.add("interpreter.links")
             self._read(Stream(sock, buffer), marker)
         except (OSError, Broken, TooLong, Garbage, msgspec.DecodeError) as bad:
+            if self.stopped:
+                return
             self.counters.add("interpreter.broken")
             self.log.warning("interpreter link ended", why=f"{type(bad).__name__}: {bad}")
         finally:
--- a/hollystage/service/ledger.py
+++ b/hollystage/service/ledger.py
@@ -15,6 +15,7 @@
 from .counters import Counters
 from .http import Bad, Response, read_response, write_request
 
+REFUSED_S = 0.02  # no sooner is it asked again
 KEPT_S = 5.0  # the other side closes what was idle for 10 s
 LATE_S = 0.02  # the ledger's own word on the time-out is waited for so long
 
@@ -83,6 +84,8 @@
             sock.connect(self.address)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
+            # guards the core against an RPC that asks a ledger that is down again and again
+            time.sleep(max(0.0, min(REFUSED_S, until - time.monotonic())))
             return Outcome.CONNECT_FAILED
         self.counters.add("ledger.connections")
         return None
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -321,6 +321,13 @@
         until(lambda: world.interpreter.got("STUB"))
         world.interpreter.end(ident)
         assert caller.answer().status == 200 and world.count("ledger.connect_failed") == 1
+        again = world.caller().send("order")  # asked for again and again, but not all the time
+        world.interpreter.notice("AWAIT", world.interpreter.applied(2)[-1])
+        time.sleep(0.3)
+        assert 3 < world.count("ledger.connect_failed") < 20
+        world.ledger.listen()
+        until(lambda: world.interpreter.got("RESOLVE"))
+        again.sock.close()
 
 
 # Repeats
