--- a/hollystage/service/tokens.py
+++ b/hollystage/service/tokens.py
@@ -62,6 +62,8 @@
         if entry is None:
             return []
         entry.ended, waiting, entry.waiting = end, entry.waiting, []
+        if end.outcome is Outcome.MOOT:
+            self.forget(exchange)  # it never ran: a repeat may
         return waiting
 
     def join(self, exchange: Exchange, earlier: Exchange) -> Ended | None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -356,6 +356,16 @@
         assert len(world.interpreter.got("APPLY")) == 1
 
 
+def test_a_repeat_of_what_the_interpreter_never_started_is_run():
+    with World(Interpreter(auto=False)) as world:
+        caller = world.caller().send("booking", **TOKEN)
+        world.interpreter.end(world.interpreter.applied()[0], result="gone")
+        assert caller.answer().status == 500
+        repeat = world.caller().send("booking", **TOKEN)
+        world.interpreter.end(world.interpreter.applied(2)[-1], b"booked")
+        assert repeat.answer().body == b"booked"
+
+
 def test_what_was_pushed_back_or_left_held_runs_when_it_comes_again():
     with World(Interpreter(auto=False)) as world:
         world.interpreter.load = [1.0, 2.0]  # busy: nothing is run beyond the cores
