A close seen late is not taken for the next connection's; answers survive unread input

Read in the code, then shown by a test that failed: the watch took the descriptor's number from epoll and looked the connection up later, when the number may be another's: that RPC would have been dropped unanswered (clients.py, watch_forever). It now asks that socket again. An early 413 was lost to a reset while the client still sent (clients.py, _connection): the connection now lingers for up to 0.5 s.

--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -24,6 +24,7 @@
 SLOW_S = 5.0  # from the first byte of a message to its last, and for an answer to be taken
 DEEP_S = 1.0  # for the interpreter to show that work gets done
 OVERDUE_S = 1.0  # past an RPC's due time: the module must have answered long before
+LINGER_S = 0.5  # for the other side to close after its last answer
 SWEEP_S, AGAIN_S = 0.1, 0.01
 BACKLOG = 512
 ATTACH_FILTER = 26  # Linux; Python has no name for it
@@ -141,7 +142,9 @@
             for number, _ in events:
                 with self.lock:
                     connection = self.connections.get(number)
-                    exchange = connection.exchange if connection else None
+                    # the number may be another connection's by now
+                    closed = connection is not None and _closed(connection.sock)
+                    exchange = connection.exchange if connection and closed else None
                 if exchange is not None:
                     self.driver.gone(exchange)
             now = time.monotonic()
@@ -168,6 +171,7 @@
             while stream.more(None) if stream.empty() else True:
                 connection.idle_since = 0.0
                 if not self._message(connection, stream):
+                    self._linger(connection, stream)
                     break
                 connection.idle_since = time.monotonic()
         except OSError:
@@ -176,6 +180,13 @@
             self.pool.give_back(buffer)
             self._end(connection)
 
+    def _linger(self, connection: Connection, stream: Stream) -> None:
+        """Guards the last answer against the reset that a close with unread input sends."""
+        connection.sock.shutdown(socket.SHUT_WR)
+        until = time.monotonic() + LINGER_S
+        while stream.more(until):
+            stream.start = stream.end = 0
+
     def _message(self, connection: Connection, stream: Stream) -> bool:
         """Reads and answers one message; whether the connection stays open."""
         keep = False
@@ -294,3 +305,10 @@
             self.epoll.unregister(connection.sock.fileno())
         with self.lock:
             connection.exchange = None
+
+
+def _closed(sock: socket.socket) -> bool:
+    """Whether the other side has closed, whatever it sent before."""
+    poll = select.poll()
+    poll.register(sock, select.POLLRDHUP)
+    return bool(poll.poll(0))
--- a/hollystage/service/interpreter.py
+++ b/hollystage/service/interpreter.py
@@ -12,7 +12,7 @@
 import threading
 import time
 from queue import SimpleQueue
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
 
@@ -28,10 +28,10 @@
 
 class Notice(msgspec.Struct):
     cmd: str
-    offset: int = 0
+    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
     req: str = ""
     result: str = ""
-    elapsed_ms: float = 0
+    elapsed_ms: Annotated[float, msgspec.Meta(ge=0, lt=1e12)] = 0
     payload: bytes = b""
     token: str = ""
     load: list[float] = []
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -134,6 +134,37 @@
         assert first.answer().body == b"one"
 
 
+def test_an_answer_is_not_lost_to_input_that_nobody_reads():
+    with World() as world:
+        for _ in range(20):
+            caller = world.caller()
+            caller.sock.sendall(RPC.replace(b"Length: 0", b"Length: 9000000") + bytes(9_000_000))
+            assert caller.answer().status == 413
+
+
+def test_a_close_seen_late_is_not_that_of_the_next_connection_of_its_number():
+    class Late:
+        def __init__(self, epoll, events):
+            self.epoll, self.events = epoll, events
+
+        def poll(self, timeout):
+            return [self.events.pop()] if self.events else self.epoll.poll(timeout)
+
+        def __getattr__(self, name):
+            return getattr(self.epoll, name)
+
+    with World(Interpreter(auto=False)) as world:
+        caller = world.caller().send()
+        (ident,) = world.interpreter.applied()
+        clients = world.instance.clients
+        events = [(number, 0x2000) for number in clients.connections]
+        clients.epoll = Late(clients.epoll, events)
+        until(lambda: not events)
+        time.sleep(0.05)
+        world.interpreter.end(ident, b"fine")
+        assert caller.answer().body == b"fine" and world.count("rpc.gone") == 0
+
+
 def test_idle_connections_are_closed_but_none_with_an_rpc():
     with World(Interpreter(auto=False)) as world:
         busy, idle = world.caller().send(), world.caller()
