--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -3,6 +3,7 @@
 
 import contextlib
 import ctypes
+import errno
 import select
 import socket
 import struct
@@ -24,6 +25,7 @@
 SLOW_S = 5.0  # from the first byte of a message to its last, and for an answer to be taken
 DEEP_S = 1.0  # for the interpreter to show that work gets done
 OVERDUE_S = 1.0  # past an RPC's due time: the module must have answered long before
+TAKEN_S = 2.0
 LINGER_S = 0.5  # for the other side to close after its last answer
 SWEEP_S, AGAIN_S = 0.1, 0.01
 BACKLOG = 512
@@ -54,9 +56,21 @@
         self.epoll = select.epoll()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.listener.bind(address)
+        self._bind(address)
         self.listener.listen(BACKLOG)
 
+    def _bind(self, address: Address) -> None:
+        """Guards a start in haste: a predecessor that was killed may hold the address a moment longer."""
+        until = time.monotonic() + TAKEN_S
+        while True:
+            try:
+                return self.listener.bind(address)
+            except OSError as bad:
+                if bad.errno != errno.EADDRINUSE or time.monotonic() > until:
+                    self.listener.close()
+                    raise
+                time.sleep(SWEEP_S)
+
     def accept_forever(self) -> None:
         while not self.closing:
             if not self.room.acquire(blocking=False):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -2,8 +2,10 @@
 import os
 import resource
 import signal
+import socket
 import subprocess
 import sys
+import threading
 import time
 
 import pytest
@@ -505,6 +507,27 @@
         return True
 
 
+@pytest.mark.parametrize("held, code", [(0.5, None), (9, 2)])
+def test_an_address_that_a_predecessor_still_holds(tmp_path, held, code):
+    world = World()
+    predecessor = socket.create_server(world.listen, reuse_port=False)
+    timer = threading.Timer(held, predecessor.close)
+    timer.start()
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(world.given))
+    started = subprocess.Popen([sys.executable, "-m", "hollystage", "serve", "--config", str(path)],
+                               stderr=subprocess.PIPE, text=True)
+    if code:
+        assert started.wait(5) == code and "listen: 127.0.0.1:" in started.stderr.readline()
+        timer.cancel()
+        predecessor.close()
+    else:
+        until(lambda: world.control.heard)
+        assert world.caller().ask().status == 200
+        started.kill()
+    started.stderr.close()
+
+
 def test_killed_outright_and_started_anew(process, tmp_path):
     started, world = process
     caller = world.caller().send("booking", **TOKEN)
