SIGHUP moves the peers; bad clients get no result and end within 1.5 s; one call a connection

The table was full (288) of half messages, which were never closed for room, while new connections with an RPC on the way were.

Changed: SIGHUP re-reads the file (ignored until it is read, taken in drains too), faulty ones are logged; link, ledger and registry move. A digest of the body with each token. X-Rank, X-Object, X-Retry, ids, starts and time-outs are checked. The first message has 1.5 s from the connection's start; what never said anything whole is closed for room first, what just connected last; eleven sixteenths of the descriptors are for clients. A call below and a report have a connection of their own (a probe: 109 us of CPU against 19 us), so no surplus or stale answer reaches another; 1xx answers are passed over.

--- a/hollystage/cli.py
+++ b/hollystage/cli.py
@@ -4,13 +4,19 @@
 import os
 import signal
 import sys
-from typing import Annotated
+import threading
+from typing import TYPE_CHECKING, Annotated
 
 import typer
 
 from . import __version__
 from .settings import Faulty
 
+if TYPE_CHECKING:
+    from .service.instance import Instance
+
+FOREVER_S, DRAIN_S = 3600, 0.01  # between looks at whether the drain is over
+
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="Admission and scheduling inside servers behind other people's balancers.")
 ConfigPath = Annotated[str, typer.Option("--config", envvar="PROXY_CONFIG", help="The configuration file.")]
@@ -18,13 +24,18 @@
 
 @app.command()
 def serve(config: ConfigPath = "") -> None:
-    """Serve until SIGTERM or SIGINT, then drain. SIGUSR1 logs the counters; a second SIGINT ends at once."""
+    """Serve until SIGTERM or SIGINT, then drain; a second SIGINT ends at once.
+
+    SIGHUP reads the configuration anew and takes its addresses of interpreter, ledger and control plane.
+    SIGUSR1 logs the counters.
+    """
     from .service.config import load
     from .service.instance import Instance
     from .service.log import setup
 
-    watched = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1}
+    watched = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
     signal.pthread_sigmask(signal.SIG_BLOCK, watched)
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)  # ignored until here, where the file is unread
     try:
         settings = load(config)
         log = setup(settings.name)
@@ -34,15 +45,34 @@
     except OSError as bad:
         _fail(f"listen: {settings.listen} cannot be used: {bad.strerror}")
     instance.start()
-    while signal.sigwait(watched) == signal.SIGUSR1:
-        log.info("counters", **instance.counters.read())
-    signal.signal(signal.SIGINT, signal.SIG_DFL)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGINT})
-    instance.drain()
+    drain = threading.Thread(target=instance.drain, daemon=True)
+    while drain.ident is None or drain.is_alive():  # also in a drain the peers may move
+        match signal.sigtimedwait(watched, DRAIN_S if drain.ident else FOREVER_S):
+            case None:
+                continue
+            case (signal.SIGUSR1, *_):
+                log.info("counters", **instance.counters.read())
+            case (signal.SIGHUP, *_):
+                _reload(config, instance)
+            case _ if drain.ident is None:
+                signal.signal(signal.SIGINT, signal.SIG_DFL)
+                signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGINT})
+                watched.discard(signal.SIGINT)
+                drain.start()
     sys.stderr.flush()
     os._exit(0)  # threads that wait on sockets are not waited for
 
 
+def _reload(path: str, instance: Instance) -> None:
+    """Nothing in a new file may end the process: a faulty one leaves all as it is."""
+    from .service.config import load
+
+    try:
+        instance.reload(load(path))
+    except Faulty as bad:
+        instance.log.error("the new configuration is not taken", why=str(bad))
+
+
 @app.command("check-config")
 def check_config(config: ConfigPath = "") -> None:
     """Read and check a configuration, and say whether it can be used."""
--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -22,7 +22,12 @@
 from .ledger import Ledger
 from .tokens import Ended
 
-SLOW_S = 5.0  # from the first byte of a message to its last, and for an answer to be taken
+FIRST_S = 1.5  # from a connection's start to the end of its first message: silence and dribble end here
+SETTLE_S, FLOOD = 0.3, 0.25  # a new connection is not closed for room before; share of the table
+SLOW_S = 2.0  # from the first byte of a later message to its last
+TAKE_S = 5.0  # for an answer to be taken
+AHEAD_MS, BEHIND_MS = 5_000, 30_000  # an RPC's start off the clock; the latter past its deadline
+PATIENT = 10  # deadlines that a caller may say it waits
 DEEP_S = 1.0  # for the interpreter to show that work gets done
 OVERDUE_S = 1.0  # past an RPC's due time: the module must have answered long before
 TAKEN_S = 2.0
@@ -37,7 +42,9 @@
 class Connection:
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
-        self.idle_since = time.monotonic()  # 0 while a message is read or answered
+        self.begun = self.idle_since = time.monotonic()  # the latter 0 while a message is read or answered
+        self.proven = False  # a whole message was read on it
+        self.hung_up = False  # by us: what crosses that is answered all the same
         self.exchange: Exchange | None = None
 
 
@@ -107,15 +114,20 @@
         self.room.release()
 
     def _make_room(self) -> None:
-        """Closes the connection that has been idle longest, where all that may be open are."""
+        """Where all that may be open are: closes the oldest that never said anything whole, else the one idle
+        longest. What has just connected is spared: its RPC is most likely on the way. Where much has just
+        connected nothing is closed: a flood would else push out those that are known."""
         with self.lock:
-            idle = [c for c in self.connections.values() if c.idle_since]
-            if idle:
-                self._hang_up(min(idle, key=lambda connection: connection.idle_since))
+            new = [c for c in self.connections.values() if not c.proven and not c.hung_up]
+            old = [c for c in new if time.monotonic() - c.begun > SETTLE_S]
+            if not old and len(new) < FLOOD * self.most:
+                old = [c for c in self.connections.values() if c.proven and c.idle_since]
+            if old:
+                self._hang_up(min(old, key=lambda connection: connection.idle_since))
 
     def _hang_up(self, connection: Connection) -> None:
         # reading side only: an RPC that crosses this close is read all the same, and answered
-        connection.idle_since = 0.0
+        connection.hung_up, connection.idle_since = True, 0.0
         with contextlib.suppress(OSError):
             connection.sock.shutdown(socket.SHUT_RD)
 
@@ -156,8 +168,8 @@
             for number, _ in events:
                 with self.lock:
                     connection = self.connections.get(number)
-                    # the number may be another connection's by now
-                    closed = connection is not None and _closed(connection.sock)
+                    # the number may be another connection's by now; our own hanging up looks like a close
+                    closed = connection is not None and not connection.hung_up and _closed(connection.sock)
                     exchange = connection.exchange if connection and closed else None
                 if exchange is not None:
                     self.driver.gone(exchange)
@@ -165,7 +177,6 @@
             if now - swept >= SWEEP_S:
                 swept = now
                 self._sweep(now)
-                self.ledger.tidy()
 
     def _sweep(self, now: float) -> None:
         limit = self.driver.idle / 1e6
@@ -182,12 +193,15 @@
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             stream = Stream(sock, buffer)
-            while stream.more(None) if stream.empty() else True:
+            until: float | None = connection.begun + FIRST_S
+            while stream.more(until) if stream.empty() else True:
                 connection.idle_since = 0.0
-                if not self._message(connection, stream):
+                if not self._message(connection, stream, until or time.monotonic() + SLOW_S):
                     self._linger(connection, stream)
                     break
-                connection.idle_since = time.monotonic()
+                until, connection.idle_since = None, time.monotonic()
+        except TimeoutError:
+            self.counters.add("clients.silent")
         except OSError:
             self.counters.add("clients.broken")
         finally:
@@ -201,12 +215,12 @@
         while stream.more(until):
             stream.start = stream.end = 0
 
-    def _message(self, connection: Connection, stream: Stream) -> bool:
+    def _message(self, connection: Connection, stream: Stream, until: float) -> bool:
         """Reads and answers one message; whether the connection stays open."""
         keep = False
         try:
-            request = read_request(stream, time.monotonic() + SLOW_S)
-            keep = request.keep
+            request = read_request(stream, until)
+            keep, connection.proven = request.keep, True
             answer = self._answer(connection, request)
         except Bad as bad:
             keep, answer = False, (bad.status, {}, b"")
@@ -218,6 +232,8 @@
         except TimeoutError:
             self.counters.add("clients.slow")
             answer = (408, {}, b"")
+        except OSError:
+            raise  # reset: nobody is there to be answered
         except Exception:
             # whatever is wrong here, the RPC gets its answer
             self.counters.add("clients.crashed")
@@ -225,12 +241,12 @@
             keep, answer = False, (500, {}, b"")
         if answer is None:
             return False
-        keep = keep and not self.closing
+        keep = keep and not self.closing and not connection.hung_up
         status, fields, body = answer
         said = self.driver.said
         if said is not None:
             fields["X-Load-Signal"] = f"{said:.4f}"
-        connection.sock.settimeout(SLOW_S)
+        connection.sock.settimeout(TAKE_S)
         connection.sock.sendall(write_response(status, fields, body, keep))
         self.counters.add(f"clients.answers.{status}")
         return keep
@@ -258,13 +274,19 @@
         given, method = rpc_fields(request.fields), self.methods[name]
         if method.kind is Kind.TOKENED and given.token is None:
             raise Bad(400, "idempotency-key is missing")
-        waited = max(0, time.time_ns() // 1000 - given.start_ms * 1000)
+        waited, deadline_ms = time.time_ns() // 1000 - given.start_ms * 1000, method.deadline // 1000
+        if not -AHEAD_MS <= waited // 1000 <= deadline_ms + BEHIND_MS:
+            raise Bad(400, "x-request-start is far off")  # guards what the module learns of unread times
+        if given.timeout_ms is not None and given.timeout_ms > PATIENT * deadline_ms:
+            raise Bad(400, "x-timeout-ms is out of range")
+        waited = max(0, waited)
         patience = max(1, given.timeout_ms * 1000 - waited) if given.timeout_ms is not None else 0
         rpc = Rpc(method, given.caller, None, given.memory_kb, patience, waited, given.further)
         token = (name, given.token) if method.kind is Kind.TOKENED and given.token else None
-        exchange = Exchange(rpc, given.ident, token)
-        if not self.driver.arrived(exchange):
-            raise Bad(400, "x-request-id is that of an open RPC")
+        exchange = Exchange(rpc, given.ident, token, request.body if token else b"")
+        refused = self.driver.arrived(exchange)
+        if refused:
+            raise Bad(400, refused)
         self.counters.add("rpc.read")
         try:
             self._watch(connection, exchange)
--- a/hollystage/service/driver.py
+++ b/hollystage/service/driver.py
@@ -8,6 +8,7 @@
 import threading
 import time
 from collections.abc import Callable
+from hashlib import blake2b
 from queue import SimpleQueue
 from typing import Protocol
 
@@ -41,10 +42,12 @@
 class Exchange:
     """One RPC, between the thread that serves it, the module and its run."""
 
-    __slots__ = ("rpc", "ident", "token", "earlier", "mailbox", "served", "ended", "at_call", "cancel")
+    __slots__ = ("rpc", "ident", "token", "digest", "earlier", "mailbox", "served", "ended", "at_call",
+                 "cancel")
 
-    def __init__(self, rpc: Rpc, ident: str, token: Token | None) -> None:
+    def __init__(self, rpc: Rpc, ident: str, token: Token | None, body: bytes) -> None:
         self.rpc, self.ident, self.token = rpc, ident, token
+        self.digest = blake2b(body, digest_size=16).digest() if token else b""
         self.earlier: Exchange | None = None
         self.mailbox: SimpleQueue[Word] = SimpleQueue()
         self.served = True  # its thread is still there
@@ -89,21 +92,23 @@
 
     # What the connection threads tell
 
-    def arrived(self, exchange: Exchange) -> bool:
-        """False where an RPC of this id is open."""
+    def arrived(self, exchange: Exchange) -> str:
+        """Why the RPC cannot be taken, where it cannot; the module does not hear of it then."""
         with self.lock:
             if exchange.ident in self.exchanges:
-                return False
+                return "x-request-id is that of an open RPC"
             rpc, self.used = exchange.rpc, True
             if exchange.token is not None:
                 earlier = self.tokens.earlier(exchange.token)
+                if earlier is not None and earlier.digest != exchange.digest:
+                    return "idempotency-key is that of another body"
                 if earlier is not None and (earlier.rpc.ran or earlier.open):
                     rpc.earlier, exchange.earlier = earlier.rpc, earlier
             self.exchanges[exchange.ident] = self.of[rpc] = exchange
             now = clock()
             self.control.arrived(rpc, now)
             self._settle(now)
-        return True
+        return ""
 
     def gone(self, exchange: Exchange) -> None:
         with self.lock:
--- a/hollystage/service/http.py
+++ b/hollystage/service/http.py
@@ -11,7 +11,8 @@
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: [^\x00-\x08\x0a-\x1f\x7f]*)?\r\n")
 FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([^\x00-\x08\x0a-\x1f\x7f]*?)[ \t]*\r\n")
 ONCE = {"content-length", "host", "transfer-encoding", "x-request-id", "x-request-start", "x-caller",
-        "x-timeout-ms", "x-retry", "x-memory-kb", "idempotency-key"}  # two of these could be read two ways
+        "x-timeout-ms", "x-retry", "x-memory-kb", "x-rank", "x-object",
+        "idempotency-key"}  # two could be read two ways
 REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
            408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
            417: "Expectation Failed", 431: "Request Header Fields Too Large",
@@ -104,13 +105,16 @@
 
 
 def read_response(stream: Stream, until: float) -> Response:
-    """Any malformed response is Bad."""
+    """Any malformed response is Bad; interim ones are passed over."""
     try:
-        head = stream.upto(b"\r\n\r\n", HEAD, until)
-        match = STATUS_LINE.match(head)
-        if match is None:
-            raise Bad(400, "a malformed status line")
-        fields, status = _fields(head, match.end()), int(match[2])
+        while True:
+            head = stream.upto(b"\r\n\r\n", HEAD, until)
+            match = STATUS_LINE.match(head)
+            if match is None:
+                raise Bad(400, "a malformed status line")
+            fields, status = _fields(head, match.end()), int(match[2])
+            if status >= 200:
+                break
         bare = status == 204 or "content-length" not in fields and "transfer-encoding" not in fields
         if bare and status != 204:
             raise Bad(411, "a response without a stated length")
@@ -139,11 +143,13 @@
     memory = float(want("x-memory-kb", r"\d{1,4}(\.\d{1,20})?"))
     if not 0 < memory < 2000:
         raise Bad(400, "x-memory-kb is missing or malformed")
+    want("x-rank", r"0(\.\d{1,20})?", "0")
+    want("x-object", r"[\x21-\x7e]{1,128}", "-")
     timeout = want("x-timeout-ms", r"\d{1,9}", "") if "x-timeout-ms" in fields else None
     token = want("idempotency-key", r"[\x21-\x7e]{1,128}") if "idempotency-key" in fields else None
-    return RpcFields(want("x-request-id", r"[0-9A-Za-z]{16}"), int(want("x-request-start", r"\d{1,15}")),
+    return RpcFields(want("x-request-id", r"[0-9A-Fa-f]{16}"), int(want("x-request-start", r"\d{1,15}")),
                      int(want("x-caller", r"\d{1,9}")), None if timeout is None else int(timeout),
-                     want("x-retry", r"\d", "0") != "0", memory, token)
+                     want("x-retry", r"[01]", "0") != "0", memory, token)
 
 
 def write_response(status: int, fields: dict[str, str], body: bytes, keep: bool) -> bytes:
--- a/hollystage/service/instance.py
+++ b/hollystage/service/instance.py
@@ -19,6 +19,7 @@
 
 STACK = 256 * 1024
 MARGIN_S = 0.1  # before the kill
+PEERS = ("vm", "ledger", "control")
 
 
 class Instance:
@@ -34,7 +35,7 @@
                                  log)
         names = [profile.name for profile in config.settings.profiles]
         self.clients = Clients(config.address("listen"), names, self.driver, self.link, self.ledger,
-                               sockets // 2 + sockets // 16, pool, self.counters, log)
+                               sockets * 11 // 16, pool, self.counters, log)
 
     def start(self) -> None:
         threading.stack_size(STACK)  # also of the connections' threads to come
@@ -43,6 +44,19 @@
             threading.Thread(target=self._go_on, args=(task,), name=task.__qualname__, daemon=True).start()
         self.log.info("serving", listen=self.config.listen)
 
+    def reload(self, config: Config) -> None:
+        """Takes the addresses of the peers; what cannot change while it serves is kept, and logged."""
+        kept = [key for key in ("name", "listen", "settings", "stop_ms", "limits")
+                if getattr(config, key) != getattr(self.config, key)]
+        moved = [key for key in PEERS if getattr(config, key) != getattr(self.config, key)]
+        for key in PEERS:
+            setattr(self.config, key, getattr(config, key))
+        self.link.move(config.address("vm"))
+        self.ledger.move(config.address("ledger"))
+        self.registry.move(config.address("control"))
+        self.counters.add("instance.reloads")
+        self.log.info("configuration read anew", taken=moved, kept_until_a_restart=kept)
+
     def _go_on(self, task: Callable[[], None]) -> None:
         """A task returns once it is stopped; guards all it serves against a fault in the handling of one."""
         while True:
--- a/hollystage/service/interpreter.py
+++ b/hollystage/service/interpreter.py
@@ -22,7 +22,7 @@
 from .counters import Counters
 from .driver import Driver
 
-CONNECT_S, SILENT_S, AGAIN_S = 2.0, 3.0, 0.05
+CONNECT_S, SILENT_S, AGAIN_S = 0.5, 3.0, 0.05
 ENDS = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.CANCELLED, "gone": Outcome.MOOT}
 
 
@@ -56,6 +56,7 @@
         self.sock: socket.socket | None = None  # the present link
         self.synced = self.stopped = False
         self.offset = self.links = self.asked = 0
+        self.moved = threading.Event()  # the address is another
         self.decoder = msgspec.json.Decoder(Notice)
 
     # Commands
@@ -127,7 +128,17 @@
     def read_forever(self) -> None:
         while not self.stopped:
             self._one_link()
-            time.sleep(AGAIN_S)
+            self.moved.wait(AGAIN_S)
+            self.moved.clear()
+
+    def move(self, address: Address) -> None:
+        """The link is made anew at once; what is missed meanwhile is made good as after a break."""
+        with self.lock:
+            if address != self.address:
+                self.address = address
+                self.moved.set()
+                if self.sock is not None:
+                    self._end(self.sock)
 
     def stop(self) -> None:
         with self.lock:
@@ -142,8 +153,9 @@
             sock.shutdown(socket.SHUT_RDWR)
 
     def _one_link(self) -> None:
+        address = self.address
         try:
-            sock = socket.create_connection(self.address, CONNECT_S)
+            sock = socket.create_connection(address, CONNECT_S)
         except OSError:
             self.counters.add("interpreter.unreachable")
             return
@@ -152,6 +164,8 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.settimeout(SILENT_S)
             with self.lock:
+                if address != self.address:  # it moved while the connection was made
+                    return
                 self.links += 1
                 self.sock, self.synced, marker = sock, False, f"all-{self.links}"
                 self._send({"cmd": "CONNECT", "offset": self.offset})
--- a/hollystage/service/ledger.py
+++ b/hollystage/service/ledger.py
@@ -1,8 +1,12 @@
-"""Calls below: one call at a time on a connection, connections kept while the other side keeps them."""
+"""Calls below, each on a connection of its own.
+
+A kept connection would save about 0.1 ms of CPU a call. The other side may close or forget it while idle,
+which leaves open whether a call on it ran, and a surplus answer may reach it at any time, to be taken for the
+next call's.
+"""
 from __future__ import annotations
 
 import contextlib
-import select
 import socket
 import threading
 import time
@@ -16,48 +20,40 @@
 from .http import Bad, Response, read_response, write_request
 
 REFUSED_S = 0.02  # no sooner is it asked again
-KEPT_S = 5.0  # the other side closes what was idle for 10 s
 LATE_S = 0.02  # the ledger's own word on the time-out is waited for so long
 
 Begin = Callable[[Callable[[], None] | None], bool]  # names what gives the call up; False where it is void
 
 
 class Ledger:
-    """Owns the connections; a call takes one and gives it back or closes it in one place."""
+    """Owns the connections; a call makes one and closes it in one place."""
 
     def __init__(self, address: Address, most: int, pool: Pool, counters: Counters, log: Any) -> None:
         self.address, self.pool, self.counters, self.log = address, pool, counters, log
-        self.host = f"{address[0]}:{address[1]}"
-        self.lock = threading.Lock()
-        self.idle: list[tuple[float, socket.socket]] = []
         self.room = threading.BoundedSemaphore(most)
 
+    def move(self, address: Address) -> None:
+        self.address = address
+
     def post(self, ident: str, limit_us: int, body: bytes, begin: Begin) -> tuple[Outcome, bytes]:
         until = time.monotonic() + limit_us / 1e6 + LATE_S
-        limit_ms = max(1, limit_us // 1000)
         if not self.room.acquire(blocking=False):
             return self._count(Outcome.FULL), b""  # more than the descriptors allow
+        address = self.address
         try:
-            sock = self._kept()
-            fresh = sock is None
-            sock = sock or socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError:  # no descriptor: nothing was sent
             self.room.release()
             return self._count(Outcome.FULL), b""
-        buffer, keep = self.pool.take(), False
+        buffer = self.pool.take()
         try:
             if not begin(lambda: _give_up(sock)):
                 return self._count(Outcome.CANCELLED), b""
-            if fresh:
-                outcome = self._connect(sock, until)
-                if outcome is not None:
-                    return self._count(outcome), b""
-            headers = {"X-Txn-Ref": ident, "X-Limit-Ms": str(limit_ms)}
-            sock.settimeout(max(0.001, until - time.monotonic()))
-            sock.sendall(write_request("POST", "/post", self.host, headers, body))
-            stream = Stream(sock, buffer)
-            reply = read_response(stream, until)
-            keep = reply.keep and stream.empty()
+            if not self._connect(sock, address, until):
+                return self._count(Outcome.CONNECT_FAILED), b""
+            headers = {"X-Txn-Ref": ident, "X-Limit-Ms": str(max(1, limit_us // 1000)), "Connection": "close"}
+            sock.sendall(write_request("POST", "/post", f"{address[0]}:{address[1]}", headers, body))
+            reply = read_response(Stream(sock, buffer), until)
             return self._count(self._meaning(reply)), reply.body
         except TimeoutError:
             return self._count(Outcome.TIMEOUT), b""
@@ -70,25 +66,21 @@
         finally:
             begin(None)  # from here on nobody gives this socket up
             self.pool.give_back(buffer)
-            if keep:
-                with self.lock:
-                    self.idle.append((time.monotonic(), sock))
-            else:
-                sock.close()
+            sock.close()
             self.room.release()
 
-    def _connect(self, sock: socket.socket, until: float) -> Outcome | None:
+    def _connect(self, sock: socket.socket, address: Address, until: float) -> bool:
         """A connection that never came about proves that no call ran."""
         try:
             sock.settimeout(max(0.001, until - time.monotonic()))
-            sock.connect(self.address)
+            sock.connect(address)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
             # guards the core against an RPC that asks a ledger that is down again and again
             time.sleep(max(0.0, min(REFUSED_S, until - time.monotonic())))
-            return Outcome.CONNECT_FAILED
+            return False
         self.counters.add("ledger.connections")
-        return None
+        return True
 
     def _meaning(self, reply: Response) -> Outcome:
         untouched = reply.fields.get("x-untouched") == "1"
@@ -98,24 +90,6 @@
             return Outcome.MOOT
         return {200: Outcome.OK, 504: Outcome.TIMEOUT}.get(reply.status, Outcome.ERROR)
 
-    def _kept(self) -> socket.socket | None:
-        while True:
-            with self.lock:
-                if not self.idle:
-                    return None
-                since, sock = self.idle.pop()
-            if time.monotonic() - since < KEPT_S and not select.select([sock], [], [], 0)[0]:
-                return sock
-            sock.close()
-
-    def tidy(self) -> None:
-        """Closes what has been idle long, before the other side does."""
-        with self.lock:
-            old = [sock for since, sock in self.idle if time.monotonic() - since >= KEPT_S]
-            self.idle = [(since, sock) for since, sock in self.idle if sock not in old]
-        for sock in old:
-            sock.close()
-
     def _count(self, outcome: Outcome) -> Outcome:
         self.counters.add(f"ledger.{outcome.name.lower()}")
         return outcome
--- a/hollystage/service/registry.py
+++ b/hollystage/service/registry.py
@@ -11,16 +11,15 @@
 from .driver import Driver
 from .http import Bad, read_response, write_request
 
-EVERY_S, AGAIN_S, TIMEOUT_S = 0.8, 0.2, 0.8  # an entry lapses 3 s after the last report
+EVERY_S, AGAIN_S = 0.8, 0.2  # an entry lapses 3 s after the last report
+TIMEOUT_S = 0.3  # a change of health waits no longer for the answer to the report before
 
 
 class Registry:
     def __init__(self, address: Address, name: str, driver: Driver, pool: Pool, counters: Counters,
                  log: Any) -> None:
-        self.address, self.path, self.driver, self.pool = address, f"/v2/endpoints/{name}", driver, pool
+        self.address, self.path, self.driver = address, f"/v2/endpoints/{name}", driver
         self.counters, self.log = counters, log
-        self.host = f"{address[0]}:{address[1]}"
-        self.sock: socket.socket | None = None
         self.buffer = pool.take()
         self.stopped = False
 
@@ -31,37 +30,25 @@
             self.counters.add("registry.reports" if good else "registry.failures")
             self.driver.changed.wait(EVERY_S if good else AGAIN_S)
 
+    def move(self, address: Address) -> None:
+        if address != self.address:
+            self.address = address
+            self.driver.changed.set()  # it must hear of this instance before the entry lapses
+
     def _report(self, healthy: bool) -> bool:
+        """One report, on a connection of its own, where no other's late reply can be taken for its own."""
         body = b'{"condition":"Ready"}' if healthy else b'{"condition":"NotReady"}'
-        for fresh in (False, True):
-            if fresh or self.sock is not None:
-                done = self._put(body, fresh)
-                if done is not None:
-                    return done
-        return False
-
-    def _put(self, body: bytes, fresh: bool) -> bool | None:
-        """None where the connection was of no use: a report may be sent twice."""
-        until = time.monotonic() + TIMEOUT_S
-        keep = False
+        address, until = self.address, time.monotonic() + TIMEOUT_S
         try:
-            if fresh or self.sock is None:
-                self.sock = socket.create_connection(self.address, TIMEOUT_S)
-                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self.sock.settimeout(TIMEOUT_S)
-            self.sock.sendall(write_request("PUT", self.path, self.host, {}, body))
-            stream = Stream(self.sock, self.buffer)
-            reply = read_response(stream, until)
-            keep = reply.keep and stream.empty()
-            if reply.status != 204:
-                self.log.warning("control plane declined a report", status=reply.status)
-            return reply.status == 204
+            with socket.create_connection(address, TIMEOUT_S) as sock:
+                fields = {"Connection": "close"}
+                sock.sendall(write_request("PUT", self.path, f"{address[0]}:{address[1]}", fields, body))
+                reply = read_response(Stream(sock, self.buffer), until)
         except Bad as bad:
             self.log.warning("control plane reply cannot be read", why=str(bad))
             return False
         except (OSError, Broken):
-            return None
-        finally:
-            if not keep and self.sock is not None:
-                self.sock.close()
-                self.sock = None
+            return False
+        if reply.status != 204:
+            self.log.warning("control plane declined a report", status=reply.status)
+        return reply.status == 204
