Single slow or lost replies from below cost neither the window nor the target

A probe in the driver (window, calls out, waiting, call times): 1% of calls get no reply; each held its place until the target (0.6 s) and cut the window by 0.7, as did each of the 10% of replies over three times a usual 2.3 ms; the window sat at its least, 2 of 20, with 12 waiting, from where all further calls were left out. Ruled out: the ledger itself (median 3 ms throughout), descriptors, threads, the core gauge. Wrong lines: Control.called cut on any one odd reply; Control._below waited for every call as long as the target allows and never asked again where an answer without the call earns something.

Changed: the window is cut only where over a quarter of recent replies are slow or lost (a refusal cuts it as before); up to there an idempotent method's call is waited for ten usual times and then made again.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -16,27 +16,25 @@
 
 TICK = 50_000  # spacing of the one timer; due answers leave up to one tick early
 SPAN, RECENT = 4_000_000, 1_000_000  # of arrivals and costs; of unread times and pushbacks
-BUCKETS = 2  # n of the cascade
+BUCKETS, FEWEST = 2, 4.0  # n of the cascade; tokens that a bucket holds at least
 WIDER, TAIL = 1.25, 1.5  # an outer bucket's rate over the next inner; the tail's delta over the outermost
-FEWEST = 4.0  # tokens that a bucket holds at least
-GENEROUS = 20.0  # RPCs a second and core before anything was measured
-FORGET = 0.3  # weight of a generous run in the usual cost
+GENEROUS, FORGET = 20.0, 0.3  # RPCs a second and core while nothing is measured; weight of such a run later
 HIGH, LOW = 0.95, 0.85  # marks of the core gauge for pushbacks of the outermost class
 HEADROOM, FULL = 0.8, 0.85  # shares: of the deadly crowd that may run, of memory for what is held and keys
 LEAST, MOST = 0.1, 0.9  # bounds of that window, as shares of what this server may have in hand below
 CUT, SLOW = 0.7, 3.0  # share that the window keeps after a sign of trouble; as is a call so many times slower
-CHOOSY = 1.3  # usual costs that must still fit before the latency target where much bounces; else one
+ODD, SILENT = 0.25, 10.0  # share of slow or lost replies that is no trouble below; usual calls waited for one
+CHOOSY, HANG = 1.3, 4.0  # usual costs that must fit before the target where much bounces; that mean a hang
 WIDE, NARROW = 4.0, 0.75  # widest window for a caller over the cores; the second where RPCs lie unread
 FULL_HOLD = 0.25  # share of a target that the hold may take up before callers are asked to send less
 UNREAD, BLIND = 0.05, 0.15  # reading costs: share of a target that RPCs lie unread, of the cores it takes
 BOUNCED, FLOOD = 0.25, 0.7  # shares of what is read pushed back: little use elsewhere; callers flood the box
-CALLERS = 4096  # callers that are remembered at the most
+CALLERS, SHORTEST = 4096, 10_000  # callers remembered at the most; shortest idle limit of connections
 BINS, COMMON, STAY = 50, 0.125, 0.998  # steps of patiences; share that tells a first try's; share kept a try
 DROWNED, CLEAR = 0.3, 0.01  # shares of the longest target that RPCs lie unread: tables may fill, until
-SHORTEST = 10_000  # shortest idle limit of connections
-HANG = 4.0  # this many usual costs without any progress mean that the cores hang
 
 START, DROP, OVERDUE, GONE, AT_CALL, GO, SKIP = "start drop overdue gone at_call go skip".split()
+UNSEEN, LOST = (Outcome.FULL, Outcome.CONNECT_FAILED), (Outcome.TIMEOUT, Outcome.RESET)
 HELD, RUNNING, CALLING, WAITING, JOINED, OVER = "held running calling waiting joined over".split()
 
 
@@ -106,7 +104,7 @@
         self.pressed, self.stuck, self.drowned, self.healthy = False, False, False, True
         self.seen: dict[int, int] = {}
         self.idle, self.known = settings.longest_idle, Decaying(now, max(SPAN, settings.longest_idle))
-        self.unread, self.turned = Decaying(now, RECENT), Decaying(now, RECENT)
+        self.unread, self.turned, self.odd = (Decaying(now, RECENT) for _ in range(3))
         targets = [m.latency_target for m in settings.methods]
         self.shortest, self.longest = min(targets), max(targets)
         least = min(m.criticality for m in settings.methods)
@@ -165,18 +163,17 @@
 
     def called(self, rpc: Rpc, outcome: Outcome, spent: int, now: int) -> None:
         self.now = now
-        if outcome == Outcome.OK:
-            slow = self.usual_call and spent > SLOW * self.usual_call
+        ok, usual = outcome == Outcome.OK, self.usual_call
+        odd = spent > SLOW * usual > 0 if ok else outcome in LOST
+        self.odd.add(odd, now, outcome != Outcome.CANCELLED)
+        if ok:
             # drifts up slowly and down quickly: what a call takes when nothing is wrong
-            gain = 0.02 if spent > self.usual_call else 0.2
-            self.usual_call += (spent - self.usual_call) * (gain if self.usual_call else 1)
-            if not slow:
-                self.window += min(self.window, 1 / self.window)
-        else:
-            slow = outcome != Outcome.CANCELLED
-            if outcome == Outcome.TIMEOUT:
-                heappush(self.lingering, now + self.set.linger)
-        if slow and now - self.cut_at > self.usual_call:
+            self.usual_call += (spent - usual) * ((0.02 if spent > usual else 0.2) if usual else 1)
+            self.window += 0 if odd else min(self.window, 1 / self.window)
+        elif outcome == Outcome.TIMEOUT:
+            heappush(self.lingering, now + self.set.linger)
+        bad = not self._seldom() if odd else outcome not in (Outcome.OK, Outcome.CANCELLED)
+        if bad and now - self.cut_at > self.usual_call:
             # guards the calls below against crowding by all instances, whatever made them slow
             self.window, self.cut_at = self.window * CUT, now
         share = max(0.01, self.set.calls_out)
@@ -277,7 +274,7 @@
 
     def _below(self, rpc: Rpc) -> Generator[Action | None, Any, Any]:
         """The calls of one run; returns the word that ended the wait."""
-        method, again = rpc.method, True
+        method, free, again = rpc.method, rpc.method.kind is Kind.IDEMPOTENT, True
         while True:
             word: Any = SKIP
             if again and not (method.skip_share > 0 and self.places[WAITING] >= self.set.cores):
@@ -291,19 +288,24 @@
             if word is not GO:
                 return word
             self._move(rpc, CALLING)
-            until = rpc.target if rpc.target > self.now else rpc.due
-            word = yield Action(Do.CALL, rpc, max(TICK, until - self.now - int(self._cost(method) / 2)))
+            span = (rpc.target if rpc.target > self.now else rpc.due) - self.now - int(self._cost(method) / 2)
+            brief = int(SILENT * self.usual_call) if free and self._seldom() else 0
+            word = yield Action(Do.CALL, rpc, max(TICK, min(span, brief or span)))
             if word is Outcome.OK:
                 self._move(rpc, RUNNING)
                 return (yield None)
             if not isinstance(word, Outcome) or word in (Outcome.CANCELLED, Outcome.MOOT):
                 return word
             # a call is repeated only where it is proven not to have run, or may run again
-            unseen = word in (Outcome.FULL, Outcome.CONNECT_FAILED)
-            again = (unseen or method.kind is Kind.IDEMPOTENT) and method.skip_share <= 0
+            lost = word in LOST and self._seldom()
+            again = free and lost if method.skip_share > 0 else free or word in UNSEEN
 
     # Guards and measures
 
+    def _seldom(self) -> bool:
+        """Guards the window, and what waits, against single odd replies: only many mean trouble below."""
+        return self.odd.mean(self.now, weight=3) <= ODD
+
     def _unwanted(self, rpc: Rpc) -> str:
         if self.stop and self.now - rpc.waited >= self.closing - TICK or self.stuck:
             return "away"
@@ -381,9 +383,8 @@
         return self.memory + len(self.kept) * self.set.key_size
 
     def _progress(self) -> None:
-        self.progress = self.now
-        if self.stuck:
-            self.stuck, self.freed = False, self.now
+        self.freed = self.now if self.stuck else self.freed
+        self.progress, self.stuck = self.now, False
 
     def _watch_cores(self, crowd: float) -> None:
         if self.stuck or not self.places[RUNNING] and crowd < 1:
@@ -393,8 +394,8 @@
             # target, since on small or cold boxes one long run, or costs not learned yet, looks like a hang)
             self.stuck = True
             for _, _, rpc in list(self.dues):
-                may_again = rpc.place == HELD or rpc.place == RUNNING and rpc.method.kind is Kind.IDEMPOTENT
-                if may_again and not rpc.answered:
+                again = rpc.place == RUNNING and rpc.method.kind is Kind.IDEMPOTENT
+                if (again or rpc.place == HELD) and not rpc.answered:
                     self._resume(rpc, DROP)
 
     def _health(self) -> None:
