--- a/hollystage/service/buffers.py
+++ b/hollystage/service/buffers.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+SPARE = 64  # buffers kept for the next; a crowd's are given back to the system
 SIZE = 16 * 1024  # a head and a body of the largest message, or a line with the largest result
 
 
@@ -23,7 +24,8 @@
 
     def give_back(self, buffer: bytearray) -> None:
         with self.lock:
-            self.free.append(buffer)
+            if len(self.free) < SPARE:
+                self.free.append(buffer)
 
 
 class TooLong(Exception):
@@ -76,6 +78,14 @@
                 raise Broken
             at = self.start + looked
 
+    def past(self, mark: bytes, until: float) -> None:
+        """Drops all up to the mark and with it, however much that is."""
+        while (found := self.buffer.find(mark, self.start, self.end)) < 0:
+            self.start = self.end = 0
+            if not self.more(until):
+                raise Broken
+        self.start = found + len(mark)
+
     def exactly(self, size: int, until: float | None) -> bytes:
         while self.end - self.start < size:
             if not self.more(until):
--- a/hollystage/service/interpreter.py
+++ b/hollystage/service/interpreter.py
@@ -12,7 +12,7 @@
 import threading
 import time
 from queue import SimpleQueue
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -37,6 +37,13 @@
     load: list[float] = []
 
 
+class Remark(msgspec.Struct):
+    """Has no meaning, whatever its other fields are."""
+
+    cmd: Literal["TRACE"]
+    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
+
+
 class Garbage(Exception):
     """The interpreter wrote what is no notice."""
 
@@ -188,15 +195,26 @@
         while True:
             # the gauges are asked for all the time: silence means that the link is dead, but for a late start
             until = time.monotonic() + SILENT_S if greeted else None
-            line = stream.upto(b"\n", len(stream.buffer), until)
-            notice = self.decoder.decode(line)
-            self.counters.add(f"interpreter.in.{notice.cmd}")
+            try:
+                line = stream.upto(b"\n", len(stream.buffer), until)
+            except TooLong:  # no notice is: a remark, which would come again on a new link
+                stream.past(b"\n", time.monotonic() + SILENT_S)
+                self.counters.add("interpreter.too_long")
+                continue
+            notice = self._decode(line)
             greeted = greeted or notice.cmd == "BANNER"
             if notice.offset:
                 if notice.offset <= self.offset:
                     continue
                 self.offset = notice.offset
             self._take(notice, marker)
+            self.counters.add(f"interpreter.in.{notice.cmd}")
+
+    def _decode(self, line: bytes) -> Notice:
+        try:
+            return self.decoder.decode(line)
+        except msgspec.ValidationError:
+            return Notice("TRACE", msgspec.json.decode(line, type=Remark).offset)
 
     def _take(self, notice: Notice, marker: str) -> None:
         match notice.cmd:
@@ -240,6 +258,8 @@
     def _sync(self) -> None:
         with self.lock:
             self.synced = True
+            for token in self.smokes:
+                self._send({"cmd": "SMOKE", "token": token})
             for lines in self.unheard.values():
                 for line in lines:
                     self._put(line)
