--- a/hollystage/cli.py
+++ b/hollystage/cli.py
@@ -75,7 +75,7 @@
 
 @app.command("check-config")
 def check_config(config: ConfigPath = "") -> None:
-    """Read and check a configuration, and say whether it can be used."""
+    """Read and check a configuration as a start and SIGHUP do, and say whether it can be used."""
     from .service.config import load
 
     try:
