A call that cannot end before the target waits until the due time, not one tick

In _below the span of a call was the target less now and half the cost; just before the target that is under one tick, so the call went out with TICK, timed out, and the ledger did the work for nothing; the RPC then called again until its due time. Change: where the target leaves no room for a slow call (SLOW usual calls), the call is given until the due time.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -324,7 +324,9 @@
                 return word
             self._move(rpc, CALLING)
             rpc.called += 1
-            span = (rpc.target if rpc.target > self.now else rpc.due) - self.now - int(self._cost(method) / 2)
+            # a call that could not end before the target is given until the due time: a shorter one is waste below
+            soon = rpc.target - self.now - self._cost(method) / 2 > SLOW * self.usual_call
+            span = (rpc.target if soon else rpc.due) - self.now - int(self._cost(method) / 2)
             brief = int(SILENT * self.usual_call) if free and self._seldom() else 0
             word = yield Action(Do.CALL, rpc, max(TICK, min(span, brief or span)))
             if word is Outcome.OK:
@@ -393,8 +395,8 @@
     def _age(self, rpc: Rpc) -> int:
         """How long the client has waited already: first tries come with one of a few patiences, learned over
         all callers (each may be seen here once only), later ones mostly with all that is left."""
-        if not rpc.patience:
-            return 0
+        if not rpc.patience:  # callers that tell nothing: a further try is as old as first tries turned away
+            return int(self.ends[rpc.method].mean(self.now, weight=1)) if rpc.further else 0
         seen, deadline, firsts = rpc.patience + rpc.waited, rpc.method.deadline, self.firsts[rpc.method]
         at = min(BINS, BINS * seen // deadline)
         if not rpc.further:
