An RPC's cost hint, at the pace measured here, decides if it can still make its target

Change: the adapter passes the hint; the module learns one pace (time on the cores over hints of runs that ended ok) and takes hint x pace for the RPC's own cost where a hint is given; methods' costs stay where no hint comes.

--- a/hollystage/benchlink/host.py
+++ b/hollystage/benchlink/host.py
@@ -27,12 +27,12 @@
         self.old: deque[tuple[int, int]] = deque()
 
     def rpc(self, now: int, fields: tuple[Any, ...]) -> None:
-        ident, method, tenant, _subject, patience, _hint, size, _rank, flags, caller, waited, earlier = fields
+        ident, method, tenant, _subject, patience, hint, size, _rank, flags, caller, waited, earlier = fields
         if method >= len(self.settings.methods):
             raise Malformed(f"an RPC of unknown method {method}")
         rpc = Rpc(self.settings.methods[method], caller,
                   self.settings.tenants[tenant] if tenant < len(self.settings.tenants) else None,
-                  size, patience, waited, bool(flags & 2))
+                  size, patience, waited, bool(flags & 2), hint=hint if flags & 1 else 0)
         if earlier:
             rpc.earlier = self.rpcs.get(earlier) or Rpc(rpc.method, caller, None, 0.0, 0, ran=True)
         self.rpcs[ident], self.ids[rpc] = rpc, ident
--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -125,6 +125,7 @@
         self.below = limit_of(given.policy, min(most, share / 2), least, most, now)
         self.stalls = Stalls(LATE)
         self.offs = {m: Decaying(now) for m in settings.methods}
+        self.pace = Decaying(now)  # time on the cores over the hints of the RPCs that took it
         if settings.pooling is not None:
             self.repool(settings.pooling, now)
         self.lingering: list[int] = []
@@ -170,6 +171,8 @@
         if rpc.place == RUNNING and outcome != Outcome.MOOT and now - spent >= self.freed:
             self.runs[rpc.method].add(max(1, spent - rpc.off_cores), now, outcome == Outcome.OK)
             self.offs[rpc.method].add(rpc.off_cores, now)
+            if rpc.hint and outcome == Outcome.OK:
+                self.pace.add(max(1, spent - rpc.off_cores), now, rpc.hint)
         self._resume(rpc, outcome)
 
     def at_call(self, rpc: Rpc, now: int) -> None:
@@ -325,8 +328,8 @@
             self._move(rpc, CALLING)
             rpc.called += 1
             # a call that could not end before the target is given until the due time: a shorter one is waste below
-            soon = rpc.target - self.now - self._cost(method) / 2 > SLOW * self.usual_call
-            span = (rpc.target if soon else rpc.due) - self.now - int(self._cost(method) / 2)
+            soon = rpc.target - self.now - self._work(rpc) / 2 > SLOW * self.usual_call
+            span = (rpc.target if soon else rpc.due) - self.now - int(self._work(rpc) / 2)
             brief = int(SILENT * self.usual_call) if free and self._seldom() else 0
             word = yield Action(Do.CALL, rpc, max(TICK, min(span, brief or span)))
             if word is Outcome.OK:
@@ -341,7 +344,7 @@
     # Guards and measures
 
     def _left(self, rpc: Rpc) -> float:
-        return min(rpc.target, rpc.due) - self.now - self._cost(rpc.method) / 2 - self.usual_call
+        return min(rpc.target, rpc.due) - self.now - self._work(rpc) / 2 - self.usual_call
 
     def _seldom(self) -> bool:
         """Guards the window, and what waits, against single odd replies: only many mean trouble below."""
@@ -411,16 +414,20 @@
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
         # a run that may just fit is worth the try for the critical, waste for the least where much bounces
         costs = CHOOSY if self.rank[rpc.method] >= 1 and self._bouncing(BOUNCED) else self.rank[rpc.method]
-        return self.now + wait + costs * self._cost(rpc.method) > min(rpc.target, rpc.due)
+        return self.now + wait + costs * self._work(rpc) > min(rpc.target, rpc.due)
 
     def _cost(self, method: Method) -> float:
         """Usual time on the cores, as it is with the present crowd on them."""
         # part of a generous run is mixed in: what is not run for a while is forgotten and tried again
         return self.runs[method].mean(self.now, 1e6 / GENEROUS, FORGET)
 
+    def _work(self, rpc: Rpc) -> float:
+        """Its own time on the cores where it brings a hint: the hint at the pace measured here, else its method's."""
+        return rpc.hint * self.pace.mean(self.now, 1.0, 1e6) if rpc.hint else self._cost(rpc.method)
+
     def _wait(self, rpc: Rpc) -> float:
         number = rpc.seat.find() if rpc.seat is not None else 0
-        ahead = [sum(self._cost(r.method) for tag, _, r in line if tag <= rpc.tag and r.place == HELD)
+        ahead = [sum(self._work(r) for tag, _, r in line if tag <= rpc.tag and r.place == HELD)
                  for line in self.holds[:len(self.holds) - 1 or 1]]
         wait = ahead[0] / self._limit() if self.pools is None else self.pools.wait(
             rpc, ahead[number], sum(ahead), self._limit())
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -156,6 +156,7 @@
     waited: int = 0  # how long it lay unread
     further: bool = False  # marked as a further try or a second copy
     earlier: Rpc | None = None  # the kept RPC that this one repeats
+    hint: int = 0  # its work as the caller guesses it, microseconds on a usual core; 0 where none is given
     due: int = 0
     target: int = 0
     tag: int = 0
