Where worth is counted by work, the split of the limit weighs criticality per core second

Change: settings read WorthBy; where it is 'work' a client's worth is its criticality times its cost.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -488,6 +488,7 @@
             inside = min(1.0, quota / sent[client.tenant]) if quota and sent[client.tenant] else 1.0
             # what of a tenant's traffic lies beyond its share is not marked: each RPC is worth the mean
             worth = client.method.criticality * (inside + (1 - inside) * self.set.over_share)
+            worth *= cost if self.set.by_work else 1  # worth of a second on the cores: the same for all such
             # twice the rate: of a few RPCs a second it is a noisy sample
             needs.append((client, 2 * rate * cost + 0.01, worth / cost, cost))
         given = dict.fromkeys(self.clients.values(), 0.0)
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -142,6 +142,7 @@
     longest_idle: int = 0
     pooling: Pooling | None = None
     below: Below = Below()
+    by_work: bool = False  # criticality is counted for each unit of work, not for each RPC
 
 
 @dataclass(slots=True, eq=False)
--- a/hollystage/settings.py
+++ b/hollystage/settings.py
@@ -76,6 +76,7 @@
     tenants: list[Quota] | None = None
     peers_total: Annotated[float, msgspec.Meta(ge=1)] = 1
     over_share_worth: Amount = 1
+    worth_by: Literal["request", "work"] = "request"
 
 
 def read(text: bytes) -> Deployment:
@@ -107,4 +108,4 @@
         calls_out=facts.calls_out, linger=int(facts.stays_for_us),
         gauges=[GAUGES.get(name, name) for name in facts.gauges],
         longest_advice=int(raw.limits.max_retry_after_us) if raw.limits.retry_after else 0,
-        longest_idle=int(facts.idle_us))
+        longest_idle=int(facts.idle_us), by_work=raw.worth_by == "work")
