One build for both shapes: the tier below and worth by work from the settings, mixes refused

Change: settings read Domain.DependsOn (shared, tier, none; default shared) and WorthBy (default request); the plan has machine.below and fleet.worth_by. Tests: calls to a tier not rested, a call near its target given until the due time, a hint that does not fit pushed back, worth by work, the refused mix.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -118,8 +118,9 @@
         self.progress = self.planned = self.freed = self.cut_at = self.next_call = now
         self.stop = self.closing = self.count = 0
         self.open, self.said = 0.3 if settings.cold else 1.0, -1.0
-        # a dependency that tells no share (a tier of servers that guard themselves) is bounded by our crowd
-        share, given = settings.calls_out or settings.cores * settings.fall_multiple, settings.below
+        # a tier of servers below guards itself and tells no share: calls are bounded by our own crowd
+        crowd = settings.cores * settings.fall_multiple
+        share, given = crowd if settings.tier_below else max(0.01, settings.calls_out), settings.below
         most = given.most or share * MOST
         least = min(most, given.least or share * LEAST)
         self.below = limit_of(given.policy, min(most, share / 2), least, most, now)
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -143,6 +143,7 @@
     pooling: Pooling | None = None
     below: Below = Below()
     by_work: bool = False  # criticality is counted for each unit of work, not for each RPC
+    tier_below: bool = False  # calls go to a tier of servers that guard themselves, not a shared dependency
 
 
 @dataclass(slots=True, eq=False)
--- a/hollystage/plan/model.py
+++ b/hollystage/plan/model.py
@@ -75,6 +75,7 @@
                 "Cores": machine.cores, "RamKb": machine.memory / 1024, "RunFactor": machine.run_factor,
                 "KeyKb": machine.key / 1024, "ClassSkipWorth": [m.skip_share for m in methods],
                 "Cold": machine.cold, "Halt": machine.halt, "Say": machine.say, "CallsOut": machine.calls_out,
+                "DependsOn": machine.below,
                 "StaysForUs": machine.linger, "Gauges": [GAUGE_WORDS[gauge] for gauge in machine.gauges],
                 "IdleUs": machine.idle},
             "Rules": {
@@ -85,7 +86,8 @@
                 {"Name": m.name, "Repeat": KIND_WORDS[m.kind], "Value": m.criticality, "PromiseUs": m.target,
                  "GiveUpUs": m.deadline, "WindowUs": m.window} for m in methods],
             "Tenants": [{"QuotaPerS": tenant.quota or 0} for tenant in tenants] or None,
-            "PeersTotal": fleet.peers, "OverShareWorth": fleet.over_share}
+            "PeersTotal": fleet.peers, "OverShareWorth": fleet.over_share,
+            "WorthBy": fleet.worth_by}
 
 
 def packed(plan: Plan) -> list[Any]:
--- a/hollystage/plan/sections.py
+++ b/hollystage/plan/sections.py
@@ -121,6 +121,7 @@
     halt: Literal["none", "abort", "suspend"] = "none"
     say: Literal["none", "threshold", "window", "share_of"] = "none"
     calls_out: Amount = 0
+    below: Literal["shared", "tier", "none"] = "shared"
     linger: TimeOrNone = 0
     gauges: list[Literal["cores", "crowd", "memory", "connections"]] = []
     idle: TimeOrNone = 0
@@ -162,6 +163,7 @@
     word = "fleet"
     peers: Count = 1
     over_share: Share = 1.0
+    worth_by: Literal["request", "work"] = "request"  # criticality counts for each RPC or each unit of work
 
 
 class Method(Section, frozen=True):
--- a/hollystage/settings.py
+++ b/hollystage/settings.py
@@ -45,6 +45,7 @@
     halt: Halt = Halt.NONE
     say: Say = Say.NONE
     calls_out: Amount = 0
+    depends_on: Literal["shared", "tier", "none"] = "shared"
     stays_for_us: Amount = 0
     gauges: list[str] = []
     idle_us: Amount = 0
@@ -91,7 +92,24 @@
         raise Faulty(f"settings cannot be read: {bad}") from bad
 
 
+def shape(raw: Deployment) -> None:
+    """Refuses settings that mix the shape of a shared dependency below with that of a tier of servers.
+
+    >>> shape(read(b'{"Domain": {"Cores": 2, "RamKb": 1e4, "RunFactor": 4, "DependsOn": "tier", "CallsOut": 3},'
+    ...            b' "Rules": {"FallMultiple": 8, "StopSendingWithinUs": 0},'
+    ...            b' "Profiles": [{"Repeat": "once", "Value": 1, "PromiseUs": 1, "GiveUpUs": 2}]}'))
+    Traceback (most recent call last):
+    hollystage.settings.Faulty: settings.Domain.CallsOut: a share of calls belongs to a shared dependency, and \
+DependsOn is 'tier'
+    """
+    facts = raw.domain
+    if facts.depends_on != "shared" and facts.calls_out:
+        raise Faulty(f"settings.Domain.CallsOut: a share of calls belongs to a shared dependency, "
+                     f"and DependsOn is {facts.depends_on!r}")
+
+
 def translate(raw: Deployment) -> Settings:
+    shape(raw)
     facts, rules, skips = raw.domain, raw.rules, raw.domain.class_skip_worth
     methods = [
         Method(kind=KINDS[p.repeat], criticality=p.value, latency_target=int(p.promise_us),
@@ -108,4 +126,4 @@
         calls_out=facts.calls_out, linger=int(facts.stays_for_us),
         gauges=[GAUGES.get(name, name) for name in facts.gauges],
         longest_advice=int(raw.limits.max_retry_after_us) if raw.limits.retry_after else 0,
-        longest_idle=int(facts.idle_us), by_work=raw.worth_by == "work")
+        longest_idle=int(facts.idle_us), by_work=raw.worth_by == "work", tier_below=facts.depends_on == "tier")
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -400,3 +400,56 @@
     assert all(rpc.place == "over" or rpc.answered for rpc in sent)
     assert all(box.did(rpc).count(START) <= 1 for rpc in sent)
     assert all(PUSH_BACK not in box.did(rpc) for rpc in sent[1::2] if rpc.ran)
+
+
+@pytest.mark.parametrize("tier, calls_out, rested", [(False, 0.0, True), (True, 0.0, False), (False, 4.0, False)])
+def test_calls_to_a_tier_below_that_tells_no_share_are_not_rested(tier, calls_out, rested):
+    box = Box(lookup(), calls_out=calls_out, tier_below=tier)
+    first, second = box.fill()
+    box.at_call(first)
+    box.call_ends(first, Outcome.OK, spent=200_000)
+    box.at_call(second)
+    assert (Do.CALL not in box.did(second)) is rested
+
+
+@pytest.mark.parametrize("left, waits_till_due", [(3 * SECOND, False), (SECOND // 5, True)])
+def test_a_call_that_could_not_end_before_the_target_is_given_until_the_due_time(left, waits_till_due):
+    box = Box(lookup(latency_target=SECOND, deadline=6 * SECOND), calls_out=4.0)
+    warm = box.send()
+    box.at_call(warm)
+    box.call_ends(warm, Outcome.OK, spent=100_000)
+    box.end(warm)
+    rpc = box.send(patience=0)
+    rpc.target = box.now + left
+    box.at_call(rpc)
+    span = [a.span for a in box.log if a.rpc is rpc and a.do is Do.CALL][0]
+    assert (span > left) is waits_till_due
+
+
+@pytest.mark.parametrize("hint, pushed", [(100_000, False), (4_000_000, True)])
+def test_an_rpc_whose_own_hint_does_not_fit_its_target_is_pushed_back(hint, pushed):
+    box = Box(lookup(latency_target=2 * SECOND))
+    for _ in range(4):  # the pace: time on the cores is the hint
+        rpc = box.send(hint=200_000)
+        box.now += 200_000
+        box.end(rpc)
+    box.fill()
+    rpc = box.send(hint=hint)
+    assert (PUSH_BACK in box.did(rpc)) is pushed
+
+
+@pytest.mark.parametrize("by_work, even", [(False, False), (True, True)])
+def test_where_worth_is_by_work_a_long_method_is_not_worth_less_per_second_of_cores(by_work, even):
+    short, long = lookup(latency_target=8 * SECOND), lookup(latency_target=8 * SECOND)
+    box = Box(short, long, by_work=by_work)
+    for method, cost in ((short, 50_000), (long, 800_000)):
+        for _ in range(6):
+            rpc = box.send(method)
+            box.now += cost
+            box.end(rpc)
+    for _ in range(400):  # far more than the cores can take, of both
+        box.send(short)
+        box.send(long)
+    box.wait(SECOND)
+    given = {c.method: c.rho / c.arrivals.read(box.now) for c in box.control.clients.values()}
+    assert (given[long] > 0.8 * given[short]) is even
