--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -315,7 +315,8 @@
         method, free, again = rpc.method, rpc.method.kind is Kind.IDEMPOTENT, True
         while True:
             word: Any = SKIP
-            choked = self.places[WAITING] >= self.set.cores or self.pools is not None and self.pools.choked(rpc)
+            choked = self.places[WAITING] >= self.set.cores or (
+                self.pools is not None and self.pools.choked(rpc))
             if again and not (method.skip_share > 0 and choked):
                 self._move(rpc, WAITING)
                 self._queue(self.waits, rpc)
@@ -328,7 +329,7 @@
                 return word
             self._move(rpc, CALLING)
             rpc.called += 1
-            # a call that could not end before the target is given until the due time: a shorter one is waste below
+            # a call that cannot end before the target is given until the due time; a shorter wastes work
             soon = rpc.target - self.now - self._work(rpc) / 2 > SLOW * self.usual_call
             span = (rpc.target if soon else rpc.due) - self.now - int(self._work(rpc) / 2)
             brief = int(SILENT * self.usual_call) if free and self._seldom() else 0
@@ -423,7 +424,7 @@
         return self.runs[method].mean(self.now, 1e6 / GENEROUS, FORGET)
 
     def _work(self, rpc: Rpc) -> float:
-        """Its own time on the cores where it brings a hint: the hint at the pace measured here, else its method's."""
+        """Its own time on the cores, microseconds: its hint at the pace measured here, else its method's."""
         return rpc.hint * self.pace.mean(self.now, 1.0, 1e6) if rpc.hint else self._cost(rpc.method)
 
     def _wait(self, rpc: Rpc) -> float:
