--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -330,8 +330,9 @@
             self._move(rpc, CALLING)
             rpc.called += 1
             # a call that cannot end before the target is given until the due time; a shorter wastes work
-            soon = rpc.target - self.now - self._work(rpc) / 2 > SLOW * self.usual_call
-            span = (rpc.target if soon else rpc.due) - self.now - int(self._work(rpc) / 2)
+            half = int(self._work(rpc) / 2)
+            soon = rpc.target - self.now - half > SLOW * self.usual_call
+            span = (rpc.target if soon else rpc.due) - self.now - half
             brief = int(SILENT * self.usual_call) if free and self._seldom() else 0
             word = yield Action(Do.CALL, rpc, max(TICK, min(span, brief or span)))
             if word is Outcome.OK:
@@ -400,17 +401,17 @@
     def _age(self, rpc: Rpc) -> int:
         """How long the client has waited already: first tries come with one of a few patiences, learned over
         all callers (each may be seen here once only), later ones mostly with all that is left."""
-        if not rpc.patience:  # callers that tell nothing: a further try is as old as first tries turned away
-            return int(self.ends[rpc.method].mean(self.now, weight=1)) if rpc.further else 0
+        # marked as a further one: most likely turned away elsewhere at the age at which first tries are here
+        elsewhere = int(self.ends[rpc.method].mean(self.now, weight=1)) if rpc.further else 0
+        if not rpc.patience:  # callers that tell nothing: that age is all there is
+            return elsewhere
         seen, deadline, firsts = rpc.patience + rpc.waited, rpc.method.deadline, self.firsts[rpc.method]
         at = min(BINS, BINS * seen // deadline)
         if not rpc.further:
             firsts[:] = [count * STAY + (j == at) for j, count in enumerate(firsts)]
         if sum(firsts[at:at + 2]) <= COMMON * sum(firsts):
             return max(0, deadline - seen)
-        # marked as a further one, yet like a first: most likely turned away elsewhere at the age usual here
-        age = int(self.ends[rpc.method].mean(self.now, weight=1)) if rpc.further else 0
-        return min(max(0, deadline - seen), age)
+        return min(max(0, deadline - seen), elsewhere)  # a further one, yet with a first one's patience
 
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
--- a/hollystage/service/config.py
+++ b/hollystage/service/config.py
@@ -8,7 +8,7 @@
 from ..interface import Below, Pool, Pooling, Reserve
 from ..plan import sections
 from ..plan.model import Plan
-from ..settings import Deployment, Faulty, shape
+from ..settings import Deployment, Faulty
 
 Address = tuple[str, int]
 
@@ -65,7 +65,6 @@
         raise Faulty(f"configuration: {bad}") from bad
     for key in ("listen", "vm", "control", "ledger"):
         config.address(key)
-    shape(config.settings)  # one shape of deployment or the other, checked at the start and at each SIGHUP
     names = [profile.name for profile in config.settings.profiles]
     for at, name in enumerate(names):
         if not name or name in names[:at]:
--- a/hollystage/settings.py
+++ b/hollystage/settings.py
@@ -50,6 +50,12 @@
     gauges: list[str] = []
     idle_us: Amount = 0
 
+    def __post_init__(self) -> None:
+        # one shape or the other: a share of calls belongs to a shared dependency, a tier below tells none
+        if self.depends_on != "shared" and self.calls_out:
+            raise ValueError(f"CallsOut: a share of calls belongs to a shared dependency, and DependsOn is "
+                             f"{self.depends_on!r}")
+
 
 class Rules(Part):
     fall_multiple: Positive
@@ -92,24 +98,7 @@
         raise Faulty(f"settings cannot be read: {bad}") from bad
 
 
-def shape(raw: Deployment) -> None:
-    """Refuses settings that mix the shape of a shared dependency below with that of a tier of servers.
-
-    >>> shape(read(b'{"Domain": {"Cores": 2, "RamKb": 1e4, "RunFactor": 4, "DependsOn": "tier", "CallsOut": 3},'
-    ...            b' "Rules": {"FallMultiple": 8, "StopSendingWithinUs": 0},'
-    ...            b' "Profiles": [{"Repeat": "once", "Value": 1, "PromiseUs": 1, "GiveUpUs": 2}]}'))
-    Traceback (most recent call last):
-    hollystage.settings.Faulty: settings.Domain.CallsOut: a share of calls belongs to a shared dependency, and \
-DependsOn is 'tier'
-    """
-    facts = raw.domain
-    if facts.depends_on != "shared" and facts.calls_out:
-        raise Faulty(f"settings.Domain.CallsOut: a share of calls belongs to a shared dependency, "
-                     f"and DependsOn is {facts.depends_on!r}")
-
-
 def translate(raw: Deployment) -> Settings:
-    shape(raw)
     facts, rules, skips = raw.domain, raw.rules, raw.domain.class_skip_worth
     methods = [
         Method(kind=KINDS[p.repeat], criticality=p.value, latency_target=int(p.promise_us),
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -8,7 +8,7 @@
 
 
 @pytest.mark.parametrize("below, calls_out, fault", [
-    ("tier", 3.0, "settings.Domain.CallsOut"), ("none", 1.0, "settings.Domain.CallsOut"),
+    ("tier", 3.0, r"CallsOut.*\$\.Domain"), ("none", 1.0, r"CallsOut.*\$\.Domain"),
     ("tier", 0.0, ""), ("shared", 3.0, "")])
 def test_settings_that_mix_a_shared_dependency_with_a_tier_below_are_refused(below, calls_out, fault):
     given = {"Domain": {"Cores": 2, "RamKb": 1e4, "RunFactor": 4, "DependsOn": below, "CallsOut": calls_out},
@@ -25,7 +25,7 @@
     config = {"name": "n3", "listen": "127.0.0.1:7001", "vm": "127.0.0.1:7002", "ledger": "127.0.0.1:7003",
               "control": "127.0.0.1:7004"}
     config["settings"] = SETTINGS | {"Domain": SETTINGS["Domain"] | {"DependsOn": "tier"}}
-    with pytest.raises(Faulty, match="settings.Domain.CallsOut"):
+    with pytest.raises(Faulty, match=r"CallsOut.*\$\.settings\.Domain"):
         parse(json.dumps(config).encode())
     config["settings"]["Domain"]["CallsOut"] = 0
     assert parse(json.dumps(config).encode()).settings.domain.depends_on == "tier"
