Instances know each other: membership by probes and gossip, decided purely, off in run

Change: decisions/records, news, suspicion, membership (SWIM with Lifeguard's regard for one's own trouble, full exchanges by sums of shelves, boots that never fall, namesakes told apart) and doors (a datagram counts once and only for the process it was meant for, without comparing clocks); hollystage/fleet: one datagram socket, a bounded stream, keyed blake3; hollystage/store: files whole or not there, one holder; plan: fleet(bind, peers, zone, key, period) and state(path); the number of instances is now fleet.instances (compiled form 2); fleet members ADDRESS; a virtual twin of membership.

--- a/examples/sites/shared/shapes.star
+++ b/examples/sites/shared/shapes.star
@@ -16,7 +16,7 @@
     )
     rules(fall_multiple = 4, drain_grace = 1.5s, cold_from = 40%, warm_after = 12s)
     refusals(retry_after = True, longest = 2s)
-    fleet(peers = peers)
+    fleet(instances = peers)
     method("quote", kind = "idempotent", target = 2s, deadline = 6s, skip_share = 25%)
     method("hold", kind = "tokened", target = 700ms, deadline = 1.8s, window = 7s, criticality = 2)
 
@@ -36,7 +36,7 @@
     )
     rules(fall_multiple = 7, drain_grace = 2s, cold_from = 50%, warm_after = 9s)
     refusals(retry_after = True, longest = 1.5s)
-    fleet(peers = peers)
+    fleet(instances = peers)
     method("charge", kind = "idempotent", target = 1.9s, deadline = 5s, skip_share = 25%)
     method(
         "record",
@@ -60,7 +60,7 @@
     )
     rules(fall_multiple = 7, drain_grace = 1.5s, cold_from = 45%, warm_after = 10s)
     refusals(retry_after = True, longest = 1s)
-    fleet(peers = peers, over_share = 35%)
+    fleet(instances = peers, over_share = 35%)
     for name, quota in quotas.items():
         tenant(name, quota = quota)
     for name in ["price", "stock"]:
--- a/hollystage/cli.py
+++ b/hollystage/cli.py
@@ -56,7 +56,7 @@
             case None:
                 continue
             case (signal.SIGUSR1, *_):
-                log.info("counters", **instance.counters.read(), **instance.driver.figures())
+                log.info("counters", **instance.counters.read(), **instance.figures())
             case (signal.SIGHUP, *_):
                 _reload(instance, config, plan, plan_key)
             case _ if drain.ident is None:
@@ -83,10 +83,12 @@
 @app.command("check-config")
 def check_config(config: ConfigPath = "", plan: PlanPath = "", plan_key: KeyPath = "") -> None:
     """Read and check a configuration as a start and SIGHUP do, and say whether it can be used."""
-    from .service.config import load
+    from .service.config import check_files, load
 
     try:
-        typer.echo(f"{load(config, plan, plan_key).name}: good")
+        found = load(config, plan, plan_key)
+        check_files(found)
+        typer.echo(f"{found.name}: good")
     except Faulty as bad:
         _fail(str(bad))
 
@@ -99,9 +101,10 @@
 
 def _add_commands() -> None:
     """Commands that import more than serving needs load it when they are run."""
-    from .commands import config, demo
+    from .commands import config, demo, fleet
 
     app.add_typer(config.app, name="config")
+    app.add_typer(fleet.app, name="fleet")
     app.command("demo")(demo.demo)
 
 
--- a/hollystage/plan/compiled.py
+++ b/hollystage/plan/compiled.py
@@ -13,7 +13,7 @@
 
 from .model import Plan, packed, unpacked
 
-FORM, MAGIC = 1, b"hollystage-plan"
+FORM, MAGIC = 2, b"hollystage-plan"
 LARGEST = 64 << 20
 KEY_SIZE = 32
 
--- a/hollystage/plan/model.py
+++ b/hollystage/plan/model.py
@@ -86,7 +86,7 @@
                 {"Name": m.name, "Repeat": KIND_WORDS[m.kind], "Value": m.criticality, "PromiseUs": m.target,
                  "GiveUpUs": m.deadline, "WindowUs": m.window} for m in methods],
             "Tenants": [{"QuotaPerS": tenant.quota or 0} for tenant in tenants] or None,
-            "PeersTotal": fleet.peers, "OverShareWorth": fleet.over_share,
+            "PeersTotal": fleet.instances, "OverShareWorth": fleet.over_share,
             "WorthBy": fleet.worth_by}
 
 
--- a/hollystage/plan/read.py
+++ b/hollystage/plan/read.py
@@ -78,8 +78,9 @@
                 inner = self._reader(first)
                 return lambda value: None if value is None else inner(value)
             case inspect.ListType():
+                fix = self.fix or "put it in [ ]"
                 item = self._reader(kind.item_type)
-                return lambda value: [item(part) for part in self._list(value)]
+                return lambda value: [item(part) for part in self._list(value, fix)]
             case inspect.IntType():
                 return lambda value: self._amount(value, unit, True)
             case inspect.FloatType():
@@ -92,9 +93,9 @@
                 return self._text
         raise TypeError(f"{self.label}: no reader for {kind}")
 
-    def _list(self, value: Any) -> list[Any]:
+    def _list(self, value: Any, fix: str) -> list[Any]:
         if not isinstance(value, list | tuple):
-            raise _Wrong(f"{self.label} is a list, not {describe(value)}", "put it in [ ]")
+            raise _Wrong(f"{self.label} is a list, not {describe(value)}", fix)
         return list(value)
 
     def _bool(self, value: Any) -> bool:
--- a/hollystage/plan/sections.py
+++ b/hollystage/plan/sections.py
@@ -14,6 +14,9 @@
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,64}$",
                            extra={"fix": "use up to 64 letters, digits, . _ and -"})]
 Address = Annotated[str, Meta(pattern=r"^[A-Za-z0-9._-]{1,253}:[0-9]{1,5}$", extra={"fix": 'write "127.0.0.1:8080"'})]
+NumericAddress = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$",
+                                     extra={"fix": 'write it in numbers, like "10.0.0.1:7400"'})]
+Path = Annotated[str, Meta(min_length=1, max_length=1024, pattern=r"^[^\x00-\x1f]+$", extra={"fix": "name a file"})]
 Pattern = Annotated[str, Meta(min_length=1, max_length=128, pattern=r"^[\x21-\x29\x2b-\x7e]*\*?$",
                               extra={"fix": "use 1 to 128 characters, a * at the end only"})]
 Time = Annotated[int, Meta(ge=1, le=86_400_000_000, extra={"unit": "time"})]
@@ -158,12 +161,41 @@
 
 
 class Fleet(Section, frozen=True):
-    """The instances that share the work; `over_share`: the worth of what a tenant sends beyond its quota."""
+    """The instances that share the work, and how they know each other: `bind` switches their talk on.
+
+    `over_share`: the worth of what a tenant sends beyond its quota.
+    """
 
     word = "fleet"
-    peers: Count = 1
+    instances: Count = 1
     over_share: Share = 1.0
     worth_by: Literal["request", "work"] = "request"  # criticality counts for each RPC or each unit of work
+    bind: NumericAddress | None = None
+    advertise: NumericAddress | None = None  # where the others reach it, if that is not `bind`
+    # some that are asked first; the others are learned
+    peers: Annotated[list[NumericAddress], Meta(max_length=64, extra={
+        "fix": "list addresses; their number is instances = ..."})] = []
+    zone: Name = "here"
+    cluster: Name = "hollystage"
+    key: Path | None = None
+    period: Annotated[int, Meta(ge=50_000, le=60_000_000, extra={"unit": "time"})] = 500_000
+
+    def troubles(self) -> Iterator[Trouble]:
+        if self.bind is None:
+            for key in ("advertise", "peers", "key"):
+                if getattr(self, key):
+                    yield key, f"{key} without bind: the instance talks to nobody", 'add bind = "10.0.0.1:7400"'
+        elif self.key is None:
+            yield "bind", "talk between instances without a key", 'add key = "/etc/hollystage/fleet.key"'
+        if (self.advertise or self.bind or "").startswith("0.0.0.0:"):
+            yield "bind", "an address that the others cannot reach", "add advertise = ..., or name one address"
+
+
+class State(Section, frozen=True):
+    """Where what outlives the process is kept: a folder of this instance's own."""
+
+    word, positional = "state", ("path",)
+    path: Path
 
 
 class Method(Section, frozen=True):
@@ -310,5 +342,5 @@
         SECTIONS[section.word] = section
 
 
-register(Instance, Listener, Interpreter, ControlPlane, Ledger, Process, Machine, Rules, Refusals, Fleet, Method,
-         Tenant, Pool, Reserve, Limit, Route, Retry, Hedge)
+register(Instance, Listener, Interpreter, ControlPlane, Ledger, Process, Machine, Rules, Refusals, Fleet, State,
+         Method, Tenant, Pool, Reserve, Limit, Route, Retry, Hedge)
--- a/hollystage/service/config.py
+++ b/hollystage/service/config.py
@@ -117,6 +117,49 @@
         Reserve(reserve.running, reserve.memory, reserve.calls)), below
 
 
+class Peering(msgspec.Struct, frozen=True):
+    """How this instance talks to the others; times in microseconds."""
+
+    bind: str
+    advertise: str
+    peers: list[str]
+    zone: str
+    cluster: str
+    key_file: str
+    period: int
+
+
+def peering(config: Config) -> Peering | None:
+    """None where the plan does not switch it on: then nothing of the fleet's package is even imported."""
+    given = config.plan.one(sections.Fleet) if config.plan is not None else None
+    if given is None or given.bind is None or given.key is None:
+        return None
+    return Peering(given.bind, given.advertise or given.bind, given.peers, given.zone, given.cluster, given.key,
+                   given.period)
+
+
+def state_path(config: Config) -> str | None:
+    """The folder of what outlives the process; None for none, and then nothing of the store is imported."""
+    given = config.plan.one(sections.State) if config.plan is not None else None
+    return given.path if given is not None else None
+
+
+def check_files(config: Config) -> None:
+    """What a start would tell in its log and go on without.
+
+    Raises:
+        Faulty: the fleet's key cannot be used.
+    """
+    from ..plan.compiled import Damaged, read_key
+
+    given = peering(config)
+    if given is not None:
+        try:
+            read_key(given.key_file)
+        except Damaged as bad:
+            raise Faulty(f"fleet.key: {bad}") from bad
+
+
 def load(path: str, plan_path: str = "", key_path: str = "") -> Config:
     """Reads the platform's JSON, a plan, or both.
 
--- a/hollystage/service/instance.py
+++ b/hollystage/service/instance.py
@@ -7,20 +7,23 @@
 import threading
 import time
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import msgspec
 
 from ..settings import translate
 from .buffers import Pool
 from .clients import Clients
-from .config import Config, pooling
+from .config import Config, peering, pooling, state_path
 from .counters import Counters
 from .driver import Driver
 from .interpreter import Link
 from .ledger import Ledger
 from .registry import Registry
 
+if TYPE_CHECKING:
+    from .peers import Peers
+
 STACK = 256 * 1024
 MARGIN_S = 0.1  # before the kill
 PEERS = ("vm", "ledger", "control")
@@ -42,11 +45,21 @@
         names = [profile.name for profile in config.settings.profiles]
         self.clients = Clients(config.address("listen"), names, self.driver, self.link, self.ledger,
                                sockets * 11 // 16, pool, self.counters, log)
+        self.peers = self._peers()
+
+    def _peers(self) -> Peers | None:
+        """Without a plan that asks for it, nothing of the talk between instances or of the store is loaded."""
+        if peering(self.config) is None and state_path(self.config) is None:
+            return None
+        from .peers import Peers
+
+        return Peers(self.config, self.driver, self.link, self.counters, self.log)
 
     def start(self) -> None:
         threading.stack_size(STACK)  # also of the connections' threads to come
         for task in (self.link.write_forever, self.link.read_forever, self.driver.tick_forever,
-                     self.clients.watch_forever, self.clients.accept_forever, self.registry.report_forever):
+                     self.clients.watch_forever, self.clients.accept_forever, self.registry.report_forever,
+                     *(self.peers.tasks() if self.peers is not None else ())):
             threading.Thread(target=self._go_on, args=(task,), name=task.__qualname__, daemon=True).start()
         self.log.info("serving", listen=self.config.listen)
         if self.config.overruled:
@@ -59,6 +72,10 @@
         """Takes the addresses of the peers; what cannot change while it serves is kept, and logged."""
         kept = [key for key in ("name", "listen", "settings", "stop_ms", "limits")
                 if getattr(config, key) != getattr(self.config, key)]
+        if peering(config) != peering(self.config):
+            kept.append("fleet")
+        if state_path(config) != state_path(self.config):
+            kept.append("state")
         moved = [key for key in PEERS if getattr(config, key) != getattr(self.config, key)]
         self.config.plan = config.plan
         # the JSON's methods stay until a restart: a plan that names others was refused when it was read
@@ -67,6 +84,8 @@
             moved.append("pools")
         if below != self.driver.settings.below:
             kept.append("limit")
+        if self.peers is not None:
+            self.peers.replanned(config.plan)
         for key in PEERS:
             setattr(self.config, key, getattr(config, key))
         self.link.move(config.address("vm"))
@@ -99,12 +118,20 @@
         self.clients.close()
         while self.clients.count() and time.monotonic() - begun < left - MARGIN_S:
             time.sleep(0.01)
+        if self.peers is not None:
+            self.peers.leave()
         self.log.info("drained", connections=self.clients.count(), **self.counters.read())
 
+    def figures(self) -> dict[str, float]:
+        """What the parts believe, for the log."""
+        return self.driver.figures() | (self.peers.figures() if self.peers is not None else {})
+
     def stop(self) -> None:
         """Ends all threads and connections at once, for programs that embed the instance."""
         self.driver.stopped = self.registry.stopped = True
         self.clients.close()
         self.clients.stop()
         self.link.stop()
+        if self.peers is not None:
+            self.peers.stop()
         self.driver.changed.set()
--- /dev/null
+++ b/hollystage/service/peers.py
@@ -0,0 +1,116 @@
+"""The instance among the others: its agent, its state's folder, and what it says of itself.
+
+Imported only where the plan asks for one of the two; whatever is wrong with them is told in one line, and serving
+goes on.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from ..decisions.membership import Terms
+from ..decisions.records import Digest, Stage, View
+from ..fleet.agent import Agent
+from ..plan.compiled import Damaged, digest, read_key
+from ..plan.model import Plan, packed
+from ..store import boots
+from ..store.folder import Folder, Unusable
+from . import driver as driving
+from .config import Config, Peering, peering, state_path
+from .counters import Counters
+from .driver import Driver
+from .interpreter import Link
+
+
+class Peers:
+    """Owns the folder and the agent; either may be missing."""
+
+    def __init__(self, config: Config, driver: Driver, link: Link, counters: Counters, log: Any) -> None:
+        self.driver, self.link, self.counters, self.log = driver, link, counters, log
+        self.clock = driving.clock
+        self.plan = plan_mark(config.plan)
+        self.served = False
+        self.folder = self._folder(config)
+        self.boot = boots.next_boot(self.folder, self.clock() // 1000, log)
+        terms = peering(config)
+        self.agent = self._agent(config, terms) if terms is not None else None
+
+    def _folder(self, config: Config) -> Folder | None:
+        path = state_path(config)
+        if path is None:
+            return None
+        try:
+            return Folder(path, config.name)
+        except Unusable as bad:
+            self.log.error("serving goes on without stored state", why=str(bad))
+            return None
+
+    def _agent(self, config: Config, terms: Peering) -> Agent | None:
+        try:
+            key = read_key(terms.key_file)
+        except Damaged as bad:
+            self.log.error("serving goes on without peers", why=f"fleet.key: {bad}")
+            return None
+        return Agent(config.name, terms.zone, terms.bind, terms.advertise, terms.peers, key, terms.cluster,
+                     times(terms.period), int(config.seed, 16), self.boot, self.digest, self._keep, self.clock,
+                     self.counters, self.log)
+
+    def tasks(self) -> list[Callable[[], None]]:
+        agent = self.agent
+        return [agent.talk_forever, agent.listen_forever, agent.meet_forever] if agent is not None else []
+
+    @property
+    def view(self) -> View | None:
+        """Read without a lock, as it was some moments ago; None without peers."""
+        return self.agent.view if self.agent is not None else None
+
+    def digest(self) -> Digest:
+        return Digest(stage=self._stage(), plan=self.plan)
+
+    def _stage(self) -> Stage:
+        settings, control = self.driver.settings, self.driver.control
+        if self.driver.leaving:
+            return Stage.DRAINING
+        self.served = self.served or self.link.synced
+        if not self.served:
+            return Stage.STARTING
+        return Stage.COLD if settings.cold and self.clock() - control.born < settings.warm_after else Stage.SERVING
+
+    def _keep(self, boot: int) -> None:
+        """Peers remembered a greater one than our clock and our folder gave."""
+        self.boot = boot
+        if self.folder is not None:
+            boots.keep(self.folder, boot, self.log)
+
+    def replanned(self, plan: Plan | None) -> None:
+        self.plan = plan_mark(plan)
+
+    def figures(self) -> dict[str, float]:
+        return self.agent.figures() if self.agent is not None else {}
+
+    def leave(self) -> None:
+        if self.agent is not None:
+            self.agent.leave()
+
+    def stop(self) -> None:
+        if self.agent is not None:
+            self.agent.stop()
+        if self.folder is not None:
+            self.folder.close()
+
+
+def times(period: int) -> Terms:
+    """All times of membership follow its period; a link's answer is awaited for three tenths of it."""
+    usual = Terms()
+    return Terms(period=period, timeout=period * usual.timeout // usual.period,
+                 ask_lost=period * usual.ask_lost // usual.period)
+
+
+def plan_mark(plan: Plan | None) -> int:
+    """32 bits of what the plan means; 0 without one."""
+    if plan is None:
+        return 0
+    rows = [[word, fields] for word, fields, _, _ in packed(plan)]
+    return int.from_bytes(digest(msgspec.msgpack.encode(rows), None)[:4], "big")
--- a/tests/corpus/bad/bool-for-number.star
+++ b/tests/corpus/bad/bool-for-number.star
@@ -1,1 +1,1 @@
-fleet(peers = True)
+fleet(instances = True)
--- a/tests/corpus/bad/time-for-count.star
+++ b/tests/corpus/bad/time-for-count.star
@@ -1,1 +1,1 @@
-fleet(peers = 3s)
+fleet(instances = 3s)
--- a/tests/corpus/good/comments-in-blocks.star
+++ b/tests/corpus/good/comments-in-blocks.star
@@ -9,4 +9,4 @@
         return 2
     # end of f
 # outside
-fleet(peers=f(True))
+fleet(instances=f(True))
--- a/tests/corpus/good/def-loop-break.star
+++ b/tests/corpus/good/def-loop-break.star
@@ -4,4 +4,4 @@
         if v>2:
             break
     return v
-fleet(peers=first([1,2,3,4]))
+fleet(instances=first([1,2,3,4]))
--- a/tests/corpus/good/logic.star
+++ b/tests/corpus/good/logic.star
@@ -1,3 +1,3 @@
 a=1
 b=0
-fleet(peers=3 if a and not b or b and a else 2)
+fleet(instances=3 if a and not b or b and a else 2)
--- a/tests/corpus/good/numbers.star
+++ b/tests/corpus/good/numbers.star
@@ -1,2 +1,2 @@
 _x=[0.5,1/3,10%3,2.50]
-fleet(peers=round(10/3))
+fleet(instances=round(10/3))
--- a/tests/corpus/good/signs.star
+++ b/tests/corpus/good/signs.star
@@ -1,3 +1,3 @@
 _x=-1+-2*-3--4
 _y=not not True
-fleet(peers=7//2+7%4)
+fleet(instances=7//2+7%4)
--- a/tests/corpus/good/tuples.star
+++ b/tests/corpus/good/tuples.star
@@ -1,3 +1,3 @@
 a,b=1,(2,)
 c=(a,b,)
-fleet(peers=len(c)+a)
+fleet(instances=len(c)+a)
--- a/tests/test_language.py
+++ b/tests/test_language.py
@@ -202,7 +202,7 @@
     (tmp_path / "plan").mkdir()
     (tmp_path / "secret.star").write_text("X = 1\n")
     os.symlink(tmp_path / "secret.star", tmp_path / "plan" / "link.star")
-    (tmp_path / "plan" / "a.star").write_text('load("link.star", "X")\nfleet(peers = X)\n')
+    (tmp_path / "plan" / "a.star").write_text('load("link.star", "X")\nfleet(instances = X)\n')
     (message,) = read_file(str(tmp_path / "plan" / "a.star")).faults
     assert str(message) == ('a.star:1:6: "link.star" is a link out of the folder of the plan; '
                             "fix: copy the file into the folder")
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -80,7 +80,7 @@
     ('{"name": 3}', r"\$.name"), ("{}", "missing required field `name`")])
 def test_faulty_json_beside_a_plan_is_named(text, message):
     with pytest.raises(Faulty, match=message):
-        parse_config(text.encode(), plan_of("fleet(peers = 3)\n"))
+        parse_config(text.encode(), plan_of("fleet(instances = 3)\n"))
 
 
 # Compiled
@@ -106,7 +106,7 @@
     (dump(plan_of(PLAN), "1", KEY), None, "name the key file"),
     (dump(plan_of(PLAN), "1", KEY), KEY[::-1], "another key"),
     (dump(plan_of(PLAN), "1"), KEY, "without a keyed digest"),
-    (dump(plan_of(PLAN), "1").replace(b"plan 1 ", b"plan 2 "), None, "form 2, this version reads form 1")])
+    (dump(plan_of(PLAN), "1").replace(b"plan 2 ", b"plan 3 "), None, "form 3, this version reads form 2")])
 def test_digests_that_do_not_fit_are_told_apart(data, key, message):
     with pytest.raises(Damaged, match=message):
         parse(data, key)
@@ -197,13 +197,13 @@
 
 def test_fmt_writes_what_differs_and_refuses_what_it_cannot_read(tmp_path):
     path = tmp_path / "a.star"
-    path.write_text("fleet( peers=3 )\n")
+    path.write_text("fleet( instances=3 )\n")
     path.chmod(0o640)
-    assert run("config", "fmt", "--check", path).exit_code == 1 and path.read_text() == "fleet( peers=3 )\n"
-    assert run("config", "fmt", path).exit_code == 0 and path.read_text() == "fleet(peers = 3)\n"
+    assert run("config", "fmt", "--check", path).exit_code == 1 and path.read_text() == "fleet( instances=3 )\n"
+    assert run("config", "fmt", path).exit_code == 0 and path.read_text() == "fleet(instances = 3)\n"
     assert run("config", "fmt", "--check", path).exit_code == 0 and path.stat().st_mode & 0o777 == 0o640
-    path.write_text("fleet(peers=3\n")
-    assert run("config", "fmt", path).exit_code == 2 and path.read_text() == "fleet(peers=3\n"
+    path.write_text("fleet(instances=3\n")
+    assert run("config", "fmt", path).exit_code == 2 and path.read_text() == "fleet(instances=3\n"
 
 
 def test_build_show_and_diff(tmp_path):
@@ -234,8 +234,8 @@
 
 
 @pytest.mark.parametrize("text, message", [
-    ("fleet(peers = 3s)\n", "a.star:1:15: fleet.peers is a number"), (None, "plan: .* cannot be read"),
-    ("hollystage-plan 1 plain x\nabc", "whose digest is wrong")])
+    ("fleet(instances = 3s)\n", "a.star:1:19: fleet.instances is a number"), (None, "plan: .* cannot be read"),
+    ("hollystage-plan 2 plain x\nabc", "whose digest is wrong")])
 def test_a_plan_that_cannot_be_used_ends_the_start_with_its_place(tmp_path, text, message):
     path = tmp_path / "a.star"
     if text is not None:
