The rig: fleets of real processes, a switchboard between them, faults, checkers, a timeline

Change: standins/fleet: words for faults, one switchboard process for every datagram and connection, parties in processes of their own, members through an entry point that tells their history and bends their one clock, schedules drawn, scenes by name, a failing schedule cut down, checkers of the four rules and of membership over all histories, eleven seeded faults; hollystage lab fleet. Worker, Ledger and ControlPlane take an address; the control plane lists.

--- a/hollystage/cli.py
+++ b/hollystage/cli.py
@@ -101,10 +101,11 @@
 
 def _add_commands() -> None:
     """Commands that import more than serving needs load it when they are run."""
-    from .commands import config, demo, fleet
+    from .commands import config, demo, fleet, lab
 
     app.add_typer(config.app, name="config")
     app.add_typer(fleet.app, name="fleet")
+    app.add_typer(lab.app, name="lab")
     app.command("demo")(demo.demo)
 
 
--- /dev/null
+++ b/hollystage/standins/fleet/draw.py
@@ -0,0 +1,119 @@
+"""Schedules drawn from a seed, and a failing one cut down to the fewest events that still fail."""
+from __future__ import annotations
+
+import random
+from collections.abc import Callable
+
+from .faults import Fault, Schedule
+
+KINDS = ("kill", "restart", "pause", "cut", "half", "lose", "delay", "double", "reorder", "spoil", "cap", "reset",
+         "drain", "clock")
+
+
+def drawn(seed: int, members: int = 12, seconds: float = 10.0, kinds: tuple[str, ...] = KINDS) -> Schedule:
+    """Two to six troubles at times of their own; each ends within the schedule, or is healed at its end."""
+    chance = random.Random(seed)
+    names = [f"m{n}" for n in range(members)]
+    faults: list[Fault] = []
+    for _ in range(chance.randint(2, 6)):
+        faults += _trouble(chance.choice(kinds), chance, names, seconds)
+    faults.sort(key=lambda fault: fault.at)
+    return Schedule(members, seconds, seed, faults)
+
+
+def _trouble(kind: str, chance: random.Random, names: list[str], seconds: float) -> list[Fault]:
+    at = round(chance.uniform(0.2, 0.6 * seconds), 2)
+    until = round(min(seconds, at + chance.uniform(0.5, 0.4 * seconds)), 2)
+    some = chance.sample(names, chance.randint(1, max(1, len(names) // 3)))
+    rest = [name for name in names if name not in some]
+    match kind:
+        case "kill" | "restart":
+            again = [Fault(until, "start", some, how=chance.choice(["kept", "emptied", "old", "damaged"]))]
+            return [Fault(at, "kill", some), *(again if kind == "restart" else [])]
+        case "drain":
+            return [Fault(at, "term", some[:1]), Fault(max(until, at + 2.5), "start", some[:1])]
+        case "pause":
+            return [Fault(at, "pause", some, amount=round(chance.uniform(0.2, 3.0), 2))]
+        case "clock":
+            return [Fault(at, "clock", some, amount=chance.choice([0.98, 1.02]), jitter=chance.choice([0.0, 1.5]))]
+        case "reset":
+            return [Fault(at, "reset", some, both=True)]
+        case "cut":
+            return [Fault(at, "cut", some, rest, both=chance.random() < 0.5), Fault(until, "heal", some, rest, True)]
+        case "half":
+            half = chance.sample(names, len(names) // 2)
+            other = [name for name in names if name not in half]
+            return [Fault(at, "cut", half, other, both=True), Fault(until, "heal", half, other, True)]
+        case "delay":
+            fault = Fault(at, "delay", some, both=True, amount=round(chance.uniform(0.01, 0.2), 3),
+                          jitter=round(chance.uniform(0, 0.2), 3))
+        case "cap":
+            fault = Fault(at, "cap", some, rest, both=True, amount=chance.choice([2_000.0, 20_000.0]))
+        case "lose":
+            fault = Fault(at, "lose", some, rest, both=True, amount=round(chance.uniform(0.05, 0.4), 2))
+        case "double":
+            fault = Fault(at, "double", some, rest, both=True, amount=0.3)
+        case "reorder":
+            fault = Fault(at, "reorder", some, rest, both=True, amount=0.3)
+        case _:
+            fault = Fault(at, "spoil", some, rest, both=True, amount=0.3)
+    return [fault, Fault(until, "heal", fault.who, fault.to, True)]
+
+
+def scene(name: str, members: int, seed: int = 1) -> Schedule:
+    """A trouble with a name; the same for tests, measurements and whoever wants to see one.
+
+    Raises:
+        KeyError: no scene is called so.
+    """
+    names = [f"m{n}" for n in range(members)]
+    quarter, most, half = names[3:3 + max(1, members // 4)], names[:members * 3 // 4], names[:members // 2]
+    rest = [name for name in names if name not in half]
+    lossy = Fault(0, "lose", names, names, amount=0.3)
+    flaps = [Fault(1 + n, "cut" if n % 2 == 0 else "heal", names[:1], names[1:2], both=True) for n in range(10)]
+    scenes: dict[str, tuple[float, list[Fault]]] = {
+        "calm": (10, []),
+        "three killed": (10, [Fault(1, "kill", quarter)]),
+        "three killed, lossy": (18, [lossy, Fault(5, "kill", quarter)]),
+        "nine restarted": (14, [Fault(1, "kill", most), Fault(1.5, "start", most)]),
+        "nine restarted, state lost": (14, [Fault(1, "kill", most), Fault(1.5, "start", most, how="emptied")]),
+        "half and half": (14, [Fault(1, "cut", half, rest, both=True), Fault(11, "heal", half, rest, both=True)]),
+        "one way": (12, [Fault(1, "cut", names[1:2], names), Fault(9, "heal", names[1:2], names)]),
+        "paused": (9, [Fault(1, "pause", names[4:5], amount=3.0)]),
+        "flapping": (13, flaps),
+        "named down": (16, [Fault(1, "kill", names), Fault(2, "start", names[3:]), Fault(10, "start", names[:3])]),
+        "drained": (9, [Fault(1, "term", names[2:4]), Fault(4, "start", names[2:4])]),
+    }
+    seconds, faults = scenes[name]
+    return Schedule(members, seconds, seed, faults)
+
+
+SCENES = ("calm", "three killed", "three killed, lossy", "nine restarted", "nine restarted, state lost",
+          "half and half", "one way", "paused", "flapping", "named down", "drained")
+
+
+def fewest(faults: list[Fault], fails: Callable[[list[Fault]], bool], most: int = 40) -> list[Fault]:
+    """Delta debugging (Zeller and Hildebrandt, 2002): ever smaller parts are left out while it still fails.
+
+    `most` plays at the most; what is left when they are used up still fails.
+
+    >>> bad = [Fault(at, "kill", ["m1"]) for at in range(9)]
+    >>> [f.at for f in fewest(bad, lambda left: {2.0, 7.0} <= {float(f.at) for f in left})]
+    [2, 7]
+    """
+    parts = 2
+    while len(faults) > 1 and most > 0:
+        size = -(-len(faults) // parts)
+        for at in range(0, len(faults), size):
+            rest = faults[:at] + faults[at + size:]
+            most -= 1
+            if rest and fails(rest):
+                faults, parts = rest, max(2, parts - 1)
+                break
+            if most <= 0:
+                break
+        else:
+            if size == 1:
+                break
+            parts = min(len(faults), 2 * parts)
+    return faults
--- a/hollystage/standins/fleet/faults.py
+++ b/hollystage/standins/fleet/faults.py
@@ -44,6 +44,13 @@
     faults: list[Fault] = []
     zones: Annotated[int, msgspec.Meta(ge=1, le=20)] = 3
 
+    def unknown(self) -> str:
+        """A name that no party has; empty where all are known."""
+        known = {f"m{n}" for n in range(self.members)} | {f"z{n}" for n in range(self.zones)}
+        known |= {f"vm-{name}" for name in known} | {f"ledger-{name}" for name in known}
+        known |= {"all", "clients", "control", "ledgers", "interpreters"}
+        return next((name for fault in self.faults for name in (*fault.who, *fault.to) if name not in known), "")
+
     def kinds(self) -> dict[str, int]:
         found: dict[str, int] = {}
         for fault in self.faults:
--- /dev/null
+++ b/hollystage/standins/fleet/rig.py
@@ -0,0 +1,435 @@
+"""Starts a fleet of real processes, lets a schedule befall it, and collects what everybody saw.
+
+Every party has a host of its own on loopback (127.X.Y.n) and a face on the switchboard (127.X.Y+1.n); nobody is told
+another's real address. The rig's own questions (views, memory) go past the switchboard. Every wait is bounded, and
+every process that was started is ended by its id.
+"""
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import random
+import secrets
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from typing import Any
+
+import msgspec
+
+from ...fleet.ask import NoAnswer, ask
+from ...plan.compiled import read_key
+from .faults import LINK_WORDS, Fault, Schedule
+from .history import History, Line, read
+from .switchboard import Door, Order, Wiring, place
+
+ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))))
+START_S, SETTLE_S, EACH_S = 30.0, 40.0, 0.25
+FLEET, SERVE, VM, LEDGER, CONTROL = 7400, 8080, 9300, 7700, 8500
+
+
+class Load(msgspec.Struct, forbid_unknown_fields=True):
+    """What the clients send and the machines can do; `rate` over all members, a second."""
+
+    rate: float = 120.0
+    clients: int = 60
+    tries: int = 3
+    heeds: bool = True
+    cores: int = 4
+    work_s: float = 0.03
+    cold: float = 1.0
+    warm_s: float = 0.0
+    period_ms: int = 500
+    ledger_slots: int = 40
+    ledger_mean_ms: float = 10.0
+    calls_out: float = 40.0
+    drain_grace_ms: int = 300
+    stop_ms: int = 1500
+    memory_mb: int = 192
+    ledgers: int = 1
+    extra: str = ""  # more of each member's plan
+
+METHODS = [{"name": "rate-lookup", "tokened": False, "share": 0.66, "target_s": 1.0, "deadline_s": 2.0, "worth": 1.0},
+           {"name": "car-hold", "tokened": True, "share": 0.34, "target_s": 0.8, "deadline_s": 2.1, "worth": 2.0}]
+PLAN = """instance("{name}", seed = "{seed}", stop = {stop}ms)
+listener("{listen}")
+interpreter("{vm}")
+control("{control}")
+{ledgers}
+process(memory = {memory}MiB, sockets = 512)
+machine(cores = {cores}, memory = 12MiB, run_factor = 8, key = 6KiB, halt = "abort", say = "none",
+        calls_out = {calls}, linger = 200ms, gauges = ["cores", "crowd"], idle = 30s, cold = {cold})
+rules(fall_multiple = 5, drain_grace = {grace}ms, cold_from = {cold_from}%, warm_after = {warm}ms)
+refusals(retry_after = True, longest = 1s)
+method("rate-lookup", kind = "idempotent", target = 1s, deadline = 2s, criticality = 1, skip_share = 30%)
+method("car-hold", kind = "tokened", target = 800ms, deadline = 2100ms, window = 8s, criticality = 2)
+fleet(instances = {members}, bind = "{bind}", advertise = "{face}", peers = {peers}, zone = "{zone}", key = "{key}",
+      period = {period}ms)
+state("{state}")
+{extra}
+"""
+
+
+def free_net() -> tuple[str, str, socket.socket]:
+    """Two nets of loopback that no other rig uses, and what holds them."""
+    chance = random.Random(secrets.randbits(32))
+    while True:
+        x, y = chance.randrange(32, 250), 2 * chance.randrange(0, 127)
+        held = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            held.bind((f"127.{x}.{y}.250", 7999))
+            return f"127.{x}.{y}", f"127.{x}.{y + 1}", held
+        except OSError:
+            held.close()
+
+
+def living(view: dict[str, Any]) -> dict[str, int]:
+    """The boots of those that a view takes for living."""
+    return {row["name"]: row["boot"] for row in view["members"] if row["belief"] in ("alive", "suspect")}
+
+
+class Rig:
+    """One run. `broken`: the fault seeded into every member."""
+
+    def __init__(self, schedule: Schedule, folder: str, load: Load | None = None, broken: str = "") -> None:
+        self.schedule, self.folder, self.load, self.broken = schedule, folder, load or Load(), broken
+        os.makedirs(folder, exist_ok=True)
+        self.history = History(folder, "rig")
+        self.net, self.faces, self.held = free_net()
+        self.names = [f"m{n}" for n in range(schedule.members)]
+        self.host = {name: 10 + n for n, name in enumerate(self.names)}
+        self.zones = {name: f"z{n % schedule.zones}" for n, name in enumerate(self.names)}
+        self.ledgers = [f"ledger-z{n}" for n in range(self.load.ledgers)]
+        self.members: dict[str, subprocess.Popen[bytes]] = {}
+        self.parties: dict[str, subprocess.Popen[str]] = {}
+        self.timers: list[threading.Timer] = []
+        self.lock, self.over = threading.RLock(), threading.Event()
+        self.starts: dict[str, int] = dict.fromkeys(self.names, 0)
+        self.key_file = os.path.join(folder, "key")
+        with open(self.key_file, "wb") as file:
+            file.write(secrets.token_bytes(32))
+        os.chmod(self.key_file, 0o600)
+        self.key = read_key(self.key_file)
+
+    # Addresses
+
+    def real(self, number: int, port: int) -> str:
+        return f"{self.net}.{number}:{port}"
+
+    def face(self, number: int, port: int) -> str:
+        return f"{self.faces}.{number}:{port}"
+
+    def _wiring(self) -> Wiring:
+        doors = [Door(self.face(230, 19999), "control", self.real(230, CONTROL), "clients")]
+        for at, (name, n) in enumerate(self.host.items()):
+            doors += [Door(self.face(n, FLEET), name, self.real(n, FLEET), "", True),
+                      Door(self.face(n, FLEET), name, self.real(n, FLEET)),
+                      Door(self.face(n, SERVE), name, self.real(n, SERVE), "clients"),
+                      Door(self.face(n, VM), f"vm-{name}", self.real(n, VM), name),
+                      Door(self.face(230, 20000 + at), "control", self.real(230, CONTROL), name)]
+            doors += [Door(self.face(210 + k, 20000 + at), ledger, self.real(210 + k, LEDGER), name)
+                      for k, ledger in enumerate(self.ledgers)]
+        return Wiring(doors, {f"{self.net}.{n}": name for name, n in self.host.items()}, self.schedule.seed,
+                      self.folder)
+
+    def plan(self, name: str) -> str:
+        n, at, load = self.host[name], self.names.index(name), self.load
+        ledgers = "\n".join(f'ledger("{ledger}", "{self.face(210 + k, 20000 + at)}")'
+                            for k, ledger in enumerate(self.ledgers))
+        return PLAN.format(
+            name=name, seed=f"{self.schedule.seed * 1000 + at + 97 * self.starts[name]:x}", stop=load.stop_ms,
+            listen=self.real(n, SERVE), vm=self.face(n, VM), control=self.face(230, 20000 + at), ledgers=ledgers,
+            memory=load.memory_mb, cores=load.cores, calls=load.calls_out / len(self.names), cold=load.cold < 1,
+            cold_from=int(load.cold * 100), warm=int(load.warm_s * 1000), grace=load.drain_grace_ms,
+            members=len(self.names), bind=self.real(n, FLEET), face=self.face(n, FLEET), zone=self.zones[name],
+            peers=json.dumps([self.face(self.host[peer], FLEET) for peer in self.names[:3]]), key=self.key_file,
+            period=load.period_ms, state=os.path.join(self.folder, f"state-{name}"), extra=load.extra)
+
+    # Processes
+
+    def _python(self, module: str, *arguments: str) -> list[str]:
+        return [sys.executable, "-m", f"hollystage.standins.fleet.{module}", *arguments]
+
+    @property
+    def _environment(self) -> dict[str, str]:
+        return os.environ | {"PYTHONPATH": ROOT, "MALLOC_ARENA_MAX": "2"}
+
+    def _party(self, name: str, module: str, spec: Any, *arguments: str) -> None:
+        path = os.path.join(self.folder, f"{name}.json")
+        with open(path, "wb") as file:
+            file.write(msgspec.json.encode(spec))
+        self.parties[name] = process = subprocess.Popen(
+            self._python(module, *arguments, path), stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True,
+            env=self._environment, stderr=open(os.path.join(self.folder, f"{name}.err"), "w"))  # noqa: SIM115
+        assert process.stdout is not None
+        if process.stdout.readline() != "ready\n":
+            raise RuntimeError(f"{name} did not start: see {path}")
+
+    def order(self, party: str, **what: Any) -> None:
+        process = self.parties[party]
+        assert process.stdin is not None
+        with self.lock, contextlib.suppress(BrokenPipeError):
+            process.stdin.write(json.dumps(what) + "\n")
+            process.stdin.flush()
+
+    def _switch(self, order: Order) -> None:
+        process = self.parties["switchboard"]
+        assert process.stdin is not None
+        with self.lock, contextlib.suppress(BrokenPipeError):
+            process.stdin.write(msgspec.json.encode(order).decode() + "\n")
+            process.stdin.flush()
+
+    def _backends(self) -> None:
+        load, folder, seed = self.load, self.folder, self.schedule.seed
+        self._party("switchboard", "switchboard", self._wiring())
+        self._party("control", "party", {"folder": folder, "address": self.real(230, CONTROL)}, "control")
+        self._party("ledgers", "party", {
+            "folder": folder, "seed": seed,
+            "addresses": {ledger: self.real(210 + k, LEDGER) for k, ledger in enumerate(self.ledgers)},
+            "terms": {"slots": load.ledger_slots, "mean": int(load.ledger_mean_ms * 1000)}}, "ledgers")
+        self._party("interpreters", "party", {
+            "folder": folder, "seed": seed, "cores": load.cores, "calls": ["rate-lookup"],
+            "work_s": {method["name"]: load.work_s for method in METHODS}, "cold": load.cold, "warm_s": load.warm_s,
+            "addresses": {name: self.real(n, VM) for name, n in self.host.items()}}, "interpreters")
+        self._party("clients", "party", {
+            "folder": folder, "seed": seed, "methods": METHODS, "rate": load.rate, "clients": load.clients,
+            "tries": load.tries, "heeds": load.heeds, "control": self.face(230, 19999),
+            "addresses": {name: self.face(n, SERVE) for name, n in self.host.items()}}, "clients")
+        for target in ("control", *self.ledgers, *(f"vm-{name}" for name in self.names)):
+            self._switch(Order(up=target))
+
+    def start_member(self, name: str) -> None:
+        self.starts[name] += 1
+        path = os.path.join(self.folder, f"{name}.{self.starts[name]}")
+        with open(path + ".star", "w") as file:
+            file.write(self.plan(name))
+        clock = os.path.join(self.folder, f"{name}.clock")
+        if not os.path.exists(clock):
+            with open(clock, "w") as file:
+                file.write("1 0")
+        with open(path + ".json", "w") as file:
+            json.dump({"name": name, "folder": self.folder, "plan": path + ".star", "clock": clock,
+                       "break": self.broken}, file)
+        with open(path + ".log", "w") as log:
+            process = subprocess.Popen(self._python("member", path + ".json"), stdout=log, stderr=log,
+                                       env=self._environment)
+        self.members[name] = process
+        self.history.write("began", name, pid=process.pid, life=self.starts[name])
+        threading.Thread(target=self._attend, args=(name, process), daemon=True).start()
+
+    def _attend(self, name: str, process: subprocess.Popen[bytes]) -> None:
+        """Wires a member up once it listens, and tells when and how it ended."""
+        address, up = place(self.real(self.host[name], SERVE)), False
+        while process.poll() is None:
+            if not up:
+                with contextlib.suppress(OSError):
+                    socket.create_connection(address, 1.0).close()
+                    self._switch(Order(up=name))
+                    self.history.write("up", name)
+                    up = True
+            time.sleep(0.02)
+        self._switch(Order(down=name))
+        self.order("interpreters", do="reset", name=name)
+        self.history.write("ended", name, code=process.returncode, life=self.starts[name])
+
+    # Views, past the switchboard
+
+    def view(self, name: str, what: str = "members") -> dict[str, Any] | None:
+        try:
+            found: dict[str, Any] = json.loads(ask(self.real(self.host[name], FLEET), self.key, "hollystage", what))
+            return found
+        except (NoAnswer, ValueError):
+            return None
+
+    def running(self) -> list[str]:
+        return [name for name, process in self.members.items() if process.poll() is None]
+
+    def agree(self) -> bool:
+        names = self.running()
+        truth: dict[str, int] = {}
+        held: list[dict[str, int]] = []
+        for name in names:
+            view = self.view(name)
+            if view is None or not view["fresh"] or view["ousted"]:
+                return False
+            rows = {row["name"]: row for row in view["members"]}
+            truth[name] = rows[name]["boot"]
+            if rows[name]["stage"] not in ("serving", "cold"):
+                return False
+            held.append(living(view))
+        return all(view == truth for view in held)
+
+    def until_agreed(self, most: float) -> float | None:
+        begun = time.monotonic()
+        while time.monotonic() - begun < most:
+            if self.agree():
+                return time.monotonic() - begun
+            time.sleep(0.1)
+        return None
+
+    # A run
+
+    def run(self, warm_s: float = 2.0) -> list[Line]:
+        """Everything from the first process to the last; returns all histories, in order."""
+        try:
+            self._backends()
+            for name in self.names:
+                self.start_member(name)
+            threading.Thread(target=self._sample, daemon=True).start()
+            self.history.write("joined", seconds=self.until_agreed(START_S))
+            for name in self.names:
+                self._save(name)
+            self.order("clients", do="start")
+            time.sleep(warm_s)
+            self._befall()
+            self._settle()
+        finally:
+            self.end()
+        return read(self.folder)
+
+    def _befall(self) -> None:
+        begun = time.monotonic()
+        self.history.write("schedule", faults=len(self.schedule.faults))
+        for fault in sorted(self.schedule.faults, key=lambda fault: fault.at):
+            time.sleep(max(0.0, begun + fault.at - time.monotonic()))
+            self.apply(fault)
+        time.sleep(max(0.0, begun + self.schedule.seconds - time.monotonic()))
+
+    def _settle(self) -> None:
+        """All is well again; whoever runs has to find the others."""
+        everyone = [*self.names, "clients"]
+        self._switch(Order(Fault(0, "heal", everyone, [], True)))
+        for name in self.running():
+            self._signal(name, signal.SIGCONT)
+        self.history.write("healed")
+        self.history.write("settled", seconds=self.until_agreed(SETTLE_S), running=self.running())
+        for name in self.running():
+            view = self.view(name)
+            self.history.write("view", name, members=view and living(view))
+        self.order("clients", do="stop")
+        time.sleep(max(method["deadline_s"] for method in METHODS) + 0.5)  # type: ignore[type-var, operator]
+
+    def apply(self, fault: Fault) -> None:
+        who, to = self._named(fault.who), self._named(fault.to)
+        self.history.write("fault", names=who, **{key: value for key, value in msgspec.to_builtins(fault).items()
+                                                  if key not in ("at", "who")} | {"to": to})
+        if fault.do in LINK_WORDS:
+            self._switch(Order(msgspec.structs.replace(fault, who=who, to=to)))
+            return
+        for name in who:
+            match fault.do:
+                case "kill":
+                    self._signal(name, signal.SIGKILL)
+                case "term":
+                    self._signal(name, signal.SIGTERM)
+                case "pause":
+                    self._signal(name, signal.SIGSTOP)
+                    self._later(fault.amount, name)
+                case "start":
+                    with contextlib.suppress(subprocess.TimeoutExpired):
+                        self.members[name].wait(self.load.stop_ms / 1000 + 1)
+                    self._state(name, fault.how)
+                    self.start_member(name)
+                case "clock":
+                    with open(os.path.join(self.folder, f"{name}.clock"), "w") as file:
+                        file.write(f"{fault.amount or 1} {fault.jitter}")
+                    if name in self.running():
+                        self._signal(name, signal.SIGUSR2)
+                case "call":
+                    self.order(name, **json.loads(fault.how))
+
+    def _named(self, names: list[str]) -> list[str]:
+        """A zone stands for its members and its ledger, "all" for all members."""
+        found: list[str] = []
+        for name in names:
+            zone = [member for member, zone in self.zones.items() if zone == name or name == "all"]
+            found += [*zone, *(f"ledger-{name}" for _ in zone[:1] if f"ledger-{name}" in self.ledgers)] or [name]
+        return found
+
+    def _signal(self, name: str, number: int) -> None:
+        process = self.members[name]
+        if process.poll() is None:
+            process.send_signal(number)
+            self.history.write("signal", name, number=int(number))
+
+    def _later(self, seconds: float, name: str) -> None:
+        def wake() -> None:
+            self._signal(name, signal.SIGCONT)
+        timer = threading.Timer(seconds, wake)
+        timer.daemon = True
+        timer.start()
+        self.timers.append(timer)
+
+    def _save(self, name: str) -> None:
+        state = os.path.join(self.folder, f"state-{name}")
+        shutil.copytree(state, state + ".old", dirs_exist_ok=True)
+
+    def _state(self, name: str, how: str) -> None:
+        state = os.path.join(self.folder, f"state-{name}")
+        if how in ("emptied", "old"):
+            shutil.rmtree(state, ignore_errors=True)
+        if how == "old":
+            shutil.copytree(state + ".old", state)
+        if how == "damaged":
+            for file in os.listdir(state):
+                path = os.path.join(state, file)
+                with open(path, "rb") as old:
+                    data = bytearray(old.read())
+                for at in range(len(data) // 2, len(data), 7):
+                    data[at] ^= 0x20
+                with open(path, "wb") as new:
+                    new.write(data)
+
+    def _sample(self) -> None:
+        """What each member takes of the machine."""
+        page, tick = os.sysconf("SC_PAGE_SIZE"), os.sysconf("SC_CLK_TCK")
+        while not self.over.wait(EACH_S):
+            for name, process in list(self.members.items()):
+                with contextlib.suppress(OSError, IndexError, ValueError):
+                    with open(f"/proc/{process.pid}/statm") as file:
+                        rss = int(file.read().split()[1]) * page
+                    with open(f"/proc/{process.pid}/stat") as file:
+                        parts = file.read().rpartition(")")[2].split()
+                    self.history.write("proc", name, mb=round(rss / (1 << 20), 1), cpu=round(
+                        (int(parts[11]) + int(parts[12])) / tick, 2), fds=len(os.listdir(f"/proc/{process.pid}/fd")))
+
+    def end(self) -> None:
+        """Drains what runs, then ends every process that was started."""
+        self.over.set()
+        for timer in self.timers:
+            timer.cancel()
+        for name in self.running():
+            self._signal(name, signal.SIGCONT)
+            self._signal(name, signal.SIGTERM)
+        until = time.monotonic() + self.load.stop_ms / 1000 + 2.0
+        for name, process in self.members.items():
+            try:
+                process.wait(max(0.0, until - time.monotonic()))
+            except subprocess.TimeoutExpired:
+                self.history.write("overstayed", name)
+                process.kill()
+                process.wait()
+        time.sleep(0.1)
+        for party in self.parties.values():
+            if party.stdin is not None:
+                with contextlib.suppress(OSError):
+                    party.stdin.close()
+        for party in self.parties.values():
+            try:
+                party.wait(2.0)
+            except subprocess.TimeoutExpired:
+                party.kill()
+                party.wait()
+        for name in self.names:
+            for life in range(1, self.starts[name] + 1):
+                with open(os.path.join(self.folder, f"{name}.{life}.log"), errors="replace") as file:
+                    text = file.read()
+                for mark in ("Traceback", "a task failed", "an RPC got no word"):
+                    if mark in text:
+                        self.history.write("outcry", name, life=life, mark=mark)
+        self.held.close()
--- a/hollystage/standins/interpreter.py
+++ b/hollystage/standins/interpreter.py
@@ -12,27 +12,27 @@
 from queue import SimpleQueue
 from typing import Any
 
-from .server import StandIn, until
+from .server import Address, StandIn, until
 
 
 class Interpreter(StandIn):
     """Keeps its notices and sends those after the offset on a new link. `auto` ends each run at once."""
 
-    def __init__(self, auto: bool = True, banner: str = "old") -> None:
+    def __init__(self, auto: bool = True, banner: str = "old", address: Address | None = None) -> None:
         self.auto, self.banner, self.piece = auto, banner, 0
         self.notices: list[dict[str, Any]] = []
         self.lock = threading.Lock()
         self.sock: socket.socket
         self.offset = 0
         self.top, self.load = True, [0.1, 0.0]
-        super().__init__()
+        super().__init__(address=address)
 
     def serve(self, sock: socket.socket) -> None:
         lines = sock.makefile("rb")
         for line in lines:
             command = json.loads(line)
             with self.lock:
-                self.heard.append(command)
+                self.remember(command)
                 if command["cmd"] == "CONNECT":
                     self.sock, self.offset = sock, command["offset"]
                     self.come_up(self.banner)
@@ -44,6 +44,9 @@
                     self.write({"cmd": "SMOKED", "token": command["token"], "result": "good"})
             self.told(command)
 
+    def remember(self, command: dict[str, Any]) -> None:
+        self.heard.append(command)
+
     def told(self, command: dict[str, Any]) -> None:
         if command["cmd"] == "APPLY" and self.auto:
             self.end(command["req"], b"ran " + base64.b64decode(command["payload"]))
@@ -81,49 +84,72 @@
 
 class Worker(Interpreter):
     """Runs on `cores` threads for random times about the mean that each method has (seconds); those in `calls`
-    make one call half way. Counts what it ran, by its body: the judge of runs that happened twice."""
+    make one call half way. Counts what it ran, by its body: the judge of runs that happened twice. One that was
+    just reset works at `cold` of its speed and warms up within `warm_s`; `slow` stretches everything."""
 
-    def __init__(self, cores: int, work_s: Mapping[str, float], calls: frozenset[str] = frozenset(),
-                 seed: int = 1) -> None:
+    def __init__(self, cores: int, work_s: Mapping[str, float], calls: frozenset[str] = frozenset(), seed: int = 1,
+                 address: Address | None = None, cold: float = 1.0, warm_s: float = 0.0) -> None:
         self.cores, self.work_s, self.calls = cores, work_s, calls
+        self.cold, self.warm_s, self.slow, self.begun = cold, warm_s, 1.0, time.monotonic() - warm_s
         self.chance = random.Random(seed)
-        self.ready: SimpleQueue[str | None] = SimpleQueue()
+        self.ready: SimpleQueue[dict[str, Any] | None] = SimpleQueue()
         self.runs: dict[str, dict[str, Any]] = {}  # those that are not over
         self.ran: dict[bytes, int] = {}
         self.busy = 0
-        super().__init__(auto=False, banner="new")
+        super().__init__(auto=False, banner="new", address=address)
         for _ in range(cores):
             threading.Thread(target=self._work, daemon=True).start()
 
+    def remember(self, command: dict[str, Any]) -> None:
+        pass
+
+    def reset(self) -> None:
+        """Gone with all it ran and knew, and up again, cold."""
+        with self.lock:
+            self.runs.clear()
+            self.notices.clear()
+            self.begun = time.monotonic()
+        self.break_off()
+
+    def pace(self) -> float:
+        """The factor by which everything takes longer just now."""
+        warm = min(1.0, (time.monotonic() - self.begun) / self.warm_s) if self.warm_s else 1.0
+        return self.slow / (self.cold + (1 - self.cold) * warm)
+
+    def began(self, ident: str, body: bytes) -> None:
+        self.ran[body] = self.ran.get(body, 0) + 1
+
     def told(self, command: dict[str, Any]) -> None:
         ident = command.get("req", "")
         run = self.runs.get(ident)
         match command["cmd"]:
             case "APPLY" if run is None:
                 body = base64.b64decode(command["payload"])
-                self.ran[body] = self.ran.get(body, 0) + 1
+                self.began(ident, body)
                 span = self.work_s.get(command["method"], 0.01) * self.chance.lognormvariate(-0.125, 0.5)
                 halves = 2 if command["method"] in self.calls else 1
-                self.runs[ident] = {"body": body, "left": halves, "span": span / halves,
-                                    "begun": time.monotonic(), "stopped": False}
-                self.ready.put(ident)
+                run = self.runs[ident] = {"ident": ident, "body": body, "left": halves, "span": span / halves,
+                                          "begun": time.monotonic(), "stopped": False}
+                self.ready.put(run)
             case "BREAK" if run is not None:
                 run["stopped"] = True
                 if run.pop("waits", False):
-                    self.ready.put(ident)
+                    self.ready.put(run)
             case "RESOLVE" | "STUB" if run is not None and run.pop("waits", False):
-                self.ready.put(ident)
+                self.ready.put(run)
             case "TOP":
                 self.load = [min(1.0, self.busy / self.cores), float(self.busy + self.ready.qsize())]
 
     def _work(self) -> None:
-        while (ident := self.ready.get()) is not None:
-            run = self.runs[ident]
+        while (run := self.ready.get()) is not None:
             self.busy += 1
             if not run["stopped"]:
-                time.sleep(run["span"])
+                time.sleep(run["span"] * self.pace())
             self.busy -= 1
             run["left"] -= 1
+            ident = run["ident"]
+            if self.runs.get(ident) is not run:  # reset meanwhile
+                continue
             if run["left"] and not run["stopped"]:
                 run["waits"] = True
                 self.notice("AWAIT", ident, b"for " + run["body"])
--- a/hollystage/standins/ledger.py
+++ b/hollystage/standins/ledger.py
@@ -14,7 +14,7 @@
 
 from ..interface import Outcome
 from ..service.http import Request
-from .server import Http, reply
+from .server import Address, Http, reply
 from .sharing import Clock, Sharing
 
 Answer = Callable[[Outcome], None]
@@ -147,12 +147,12 @@
 class Ledger(Http):
     """The model on a socket, in real time: a thread waits for each answer."""
 
-    def __init__(self, terms: Terms, seed: int = 1) -> None:
+    def __init__(self, terms: Terms, seed: int = 1, address: Address | None = None) -> None:
         self.lock = threading.Lock()
         self.clock = Clock(self._now())
         self.model = LedgerModel(self.clock, terms, seed)
         self.stopped = threading.Event()
-        super().__init__()
+        super().__init__(address=address)
         threading.Thread(target=self._turn, daemon=True).start()
 
     @staticmethod
--- a/hollystage/standins/peers.py
+++ b/hollystage/standins/peers.py
@@ -5,7 +5,7 @@
 import time
 
 from ..service.http import Request
-from .server import Http, reply
+from .server import Address, Http, reply
 
 
 class SteadyLedger(Http):
@@ -24,11 +24,22 @@
 class ControlPlane(Http):
     """Remembers what each instance last reported."""
 
-    def __init__(self) -> None:
+    LAPSES_S = 3.0
+
+    def __init__(self, address: Address | None = None) -> None:
         self.reported: dict[str, str] = {}
-        super().__init__()
+        self.at: dict[str, float] = {}
+        super().__init__(address=address)
 
     def answer(self, request: Request) -> bytes:
+        if request.verb == "GET":
+            return reply(200, json.dumps(self.listed()).encode())
         name = request.path.rpartition("/")[2]
-        self.reported[name] = json.loads(request.body)["condition"]
+        self.reported[name], self.at[name] = json.loads(request.body)["condition"], time.monotonic()
         return reply(204)
+
+    def listed(self) -> list[str]:
+        """Those that take work, as far as they reported lately."""
+        now = time.monotonic()
+        return sorted(name for name, condition in list(self.reported.items())
+                      if condition == "Ready" and now - self.at[name] < self.LAPSES_S)
--- a/hollystage/standins/server.py
+++ b/hollystage/standins/server.py
@@ -39,8 +39,8 @@
 class StandIn:
     """`serve` runs in a thread for each connection; `heard` keeps what came in."""
 
-    def __init__(self, listening: bool = True) -> None:
-        self.address = free_address()
+    def __init__(self, listening: bool = True, address: Address | None = None) -> None:
+        self.address = address or free_address()
         self.heard: list[Any] = []
         self.open: list[socket.socket] = []
         self.ended: list[socket.socket] = []
@@ -59,13 +59,14 @@
         with contextlib.suppress(OSError):
             while True:
                 sock, _ = listener.accept()
+                self.open = [other for other in self.open if other.fileno() >= 0]
                 self.open.append(sock)
                 threading.Thread(target=self.guarded, args=(sock,), daemon=True).start()
 
     def guarded(self, sock: socket.socket) -> None:
         with contextlib.suppress(OSError, Broken):
             self.serve(sock)
-        self.ended.append(sock)
+        self.ended = [*self.ended[-99:], sock]
 
     def break_off(self) -> None:
         """Ends every connection."""
