--- a/hollystage/commands/lab.py
+++ b/hollystage/commands/lab.py
@@ -33,6 +33,10 @@
           schedule: Annotated[str, typer.Option("--schedule", help="Play this file instead of a drawn one.")] = "",
           scene: Annotated[str, typer.Option("--scene", help="Play a trouble by its name; see docs/lab.md.")] = "",
           rate: Annotated[float, typer.Option("--rate", min=0.1, max=2000, help="RPCs a second in all.")] = 120.0,
+          period: Annotated[int, typer.Option("--period", min=50, max=60_000, help="Of membership, milliseconds.")]
+          = 500,
+          settle: Annotated[float, typer.Option("--settle", min=1, max=600, help="Seconds for views to agree.")]
+          = 40.0,
           shrink: Annotated[bool, typer.Option("--shrink", help="Cut a failing schedule down; takes many plays.")]
           = False, broken: Break = "", report: Report = "", keep: Keep = "", json: Json = False) -> None:
     """Start a fleet among stand-ins, let faults befall it, and judge what everybody saw.
@@ -55,7 +59,7 @@
         plan = read_schedule(schedule)
     else:
         plan = scene_of(scene, members, seed) if scene else drawn(seed, members, seconds)
-    load = Load(rate=rate)
+    load = Load(rate=rate, period_ms=period, settle_s=settle)
 
     def judge(lines: list[Line]) -> list[Violation]:
         return rules(lines, load) + membership(lines)
--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -17,7 +17,7 @@
 from .config import Address
 from .counters import Counters
 from .driver import Driver, clock
-from .exchange import Ended, Exchange, Gone
+from .exchange import Ended, Exchange, Gone, Word
 from .http import Bad, Request, read_request, rpc_fields, write_response
 from .interpreter import Link
 from .ledger import Ledger
@@ -295,7 +295,7 @@
             self._watch(connection, exchange)
             latest = (patience or method.deadline) / 1e6 + OVERDUE_S
             while True:
-                word = exchange.mailbox.get(timeout=latest)
+                word = _word(exchange, latest)
                 if isinstance(word, Gone):
                     return None
                 if isinstance(word, Ended):
@@ -346,6 +346,18 @@
             connection.exchange = None
 
 
+def _word(exchange: Exchange, latest: float) -> Word:
+    """
+    Raises:
+        Empty: none came, though the module had its turn.
+    """
+    try:
+        return exchange.mailbox.get(timeout=latest)
+    except Empty:
+        # where the whole process was stopped for long, this wait ends before the module has looked at what is due
+        return exchange.mailbox.get(timeout=OVERDUE_S)
+
+
 def _closed(sock: socket.socket) -> bool:
     """Whether the other side has closed, whatever it sent before."""
     poll = select.poll()
--- a/hollystage/standins/fleet/breaks.py
+++ b/hollystage/standins/fleet/breaks.py
@@ -32,11 +32,17 @@
 
 
 def _accuse_asleep() -> None:
-    """One that slept itself goes on as if nothing were."""
+    """One that slept itself goes on as if nothing were, and looks at its timers before it reads what came."""
     def wake(self: Members, now: int) -> None:
         self.now = max(self.now, now)
         self.stalls.due = 0
+    heard = Members.heard
+
+    def late(self: Members, sender: Record, word: Any, news: Any, now: int) -> None:
+        self.tick(now)
+        heard(self, sender, word, news, now)
     _put(Members, "_wake", wake)
+    _put(Members, "heard", late)
 
 
 def _never_ask_lost() -> None:
@@ -116,6 +122,7 @@
     _put(Control, "leaving", lambda self, left, now: None)
     from ...service.clients import Clients
     _put(Clients, "close", lambda self: None)
+    _put(Clients, "count", lambda self: 1)
 
 
 def _hoard() -> None:
--- a/hollystage/standins/fleet/draw.py
+++ b/hollystage/standins/fleet/draw.py
@@ -80,8 +80,11 @@
         "half and half": (14, [Fault(1, "cut", half, rest, both=True), Fault(11, "heal", half, rest, both=True)]),
         "one way": (12, [Fault(1, "cut", names[1:2], names), Fault(9, "heal", names[1:2], names)]),
         "paused": (9, [Fault(1, "pause", names[4:5], amount=3.0)]),
+        "many paused": (13, [Fault(0, "delay", names, names, amount=0.08, jitter=0.03), *(
+            Fault(1 + 5 * n, "pause", names[n::2], amount=2.0) for n in range(2))]),
         "flapping": (13, flaps),
         "named down": (16, [Fault(1, "kill", names), Fault(2, "start", names[3:]), Fault(10, "start", names[:3])]),
+        "resets": (10, [Fault(0.5 + 0.4 * n, "reset", ["clients"], names) for n in range(22)]),
         "drained": (9, [Fault(1, "term", names[2:4]), Fault(4, "start", names[2:4])]),
     }
     seconds, faults = scenes[name]
@@ -89,7 +92,7 @@
 
 
 SCENES = ("calm", "three killed", "three killed, lossy", "nine restarted", "nine restarted, state lost",
-          "half and half", "one way", "paused", "flapping", "named down", "drained")
+          "half and half", "one way", "paused", "many paused", "flapping", "named down", "resets", "drained")
 
 
 def fewest(faults: list[Fault], fails: Callable[[list[Fault]], bool], most: int = 40) -> list[Fault]:
--- a/hollystage/standins/fleet/member.py
+++ b/hollystage/standins/fleet/member.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import runpy
 import signal
 import sys
 import time
@@ -59,9 +60,8 @@
         from .breaks import BREAKS
         BREAKS[spec["break"]]()
     history.write("started", broken=spec.get("break", ""))
-    from ...cli import app
-
-    app(["serve", "--plan", spec["plan"]])
+    sys.argv = ["hollystage", "serve", "--plan", spec["plan"]]
+    runpy.run_module("hollystage", run_name="__main__")
 
 
 if __name__ == "__main__":
--- a/hollystage/standins/fleet/rig.py
+++ b/hollystage/standins/fleet/rig.py
@@ -29,7 +29,7 @@
 from .switchboard import Door, Order, Wiring, place
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__)))))
-START_S, SETTLE_S, EACH_S = 30.0, 40.0, 0.25
+START_S, EACH_S = 30.0, 0.25
 FLEET, SERVE, VM, LEDGER, CONTROL = 7400, 8080, 9300, 7700, 8500
 
 
@@ -52,6 +52,7 @@
     stop_ms: int = 1500
     memory_mb: int = 192
     ledgers: int = 1
+    settle_s: float = 40.0  # for all to agree after the last fault
     extra: str = ""  # more of each member's plan
 
 METHODS = [{"name": "rate-lookup", "tokened": False, "share": 0.66, "target_s": 1.0, "deadline_s": 2.0, "worth": 1.0},
@@ -307,7 +308,7 @@
         for name in self.running():
             self._signal(name, signal.SIGCONT)
         self.history.write("healed")
-        self.history.write("settled", seconds=self.until_agreed(SETTLE_S), running=self.running())
+        self.history.write("settled", seconds=self.until_agreed(self.load.settle_s), running=self.running())
         for name in self.running():
             view = self.view(name)
             self.history.write("view", name, members=view and living(view))
--- a/hollystage/standins/fleet/twin.py
+++ b/hollystage/standins/fleet/twin.py
@@ -8,6 +8,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from hashlib import blake2b
 
 from ...decisions.membership import Answer, Meet, Members, Opening, Rest, Send, Terms, Word
@@ -79,8 +80,9 @@
         self.clock.at(SECOND + int(second * SECOND), what)
 
     def play(self, faults: list[Fault]) -> None:
+        """A schedule that begins now; clocks are one here, so that words for clocks do nothing."""
         for fault in faults:
-            self.at(fault.at, lambda fault=fault: self.apply(fault))  # type: ignore[misc]
+            self.clock.at(self.clock.now + int(fault.at * SECOND), partial(self.apply, fault))
 
     def apply(self, fault: Fault) -> None:
         match fault.do:
@@ -99,6 +101,8 @@
             case "pause":
                 for name in fault.who:
                     self.pause(self.nodes[name], int(fault.amount * SECOND))
+            case "clock" | "call":
+                pass
             case _:
                 self.net.apply(fault, self.nodes)
 
