Signals are waited for as before; beats and looks on demand date a notice

Change: the main thread waits without end again. decisions/notice goes by the timer's beats, and after a sleep the driver asks for a look (SIGURG to the main thread); two beats in their time mean that a notice is of now, so that no grace is lost. One thread reads files anew, whatever asks for it.

--- a/hollystage/cli.py
+++ b/hollystage/cli.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from .service.instance import Instance
 
-DRAIN_S = 0.01  # between looks at whether the drain is over
+FOREVER_S, DRAIN_S = 3600, 0.01  # between looks at whether the drain is over
 
 app = typer.Typer(add_completion=False, no_args_is_help=True, pretty_exceptions_enable=False,
                   help="Admission and scheduling inside servers behind other people's balancers.")
@@ -42,7 +42,8 @@
     from .service.instance import Instance
     from .service.log import setup
 
-    watched = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP}
+    # SIGURG is our own, to look for a notice after a sleep
+    watched = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP, signal.SIGURG}
     signal.pthread_sigmask(signal.SIG_BLOCK, watched)
     signal.signal(signal.SIGHUP, signal.SIG_DFL)  # ignored until here, where the file is unread
     try:
@@ -56,37 +57,49 @@
     # a notice that came while this started is heard only now
     notice = Notice(instance.driver.settings.drain_grace, clock() - int((time.monotonic() - entered) * 1e6))
     instance.driver.notice = notice
+    hearing = threading.get_ident()
+    instance.driver.look = lambda: signal.pthread_kill(hearing, signal.SIGURG)
     instance.start()
+    stale = threading.Event()
+    # files are read on a thread of its own, so that a notice is heard in the middle of it
+    threading.Thread(target=_reload_forever, args=(stale, instance, config, plan, plan_key), daemon=True).start()
     drain: threading.Thread | None = None
-    reload: threading.Thread | None = None  # of its own, so that a notice is heard in the middle of it
-    stale = False  # the files may have changed since they were read
+    looks = True  # whether a notice waits already is asked
     while drain is None or drain.is_alive():  # also in a drain the peers may move
         asked = clock()
-        # looked at, not waited for: past its time-out an interrupted sigtimedwait of Python 3.11 tells of a signal
-        # that nobody sent, and a process that was stopped and goes on is interrupted
-        match signal.sigtimedwait(watched, 0):
+        match signal.sigtimedwait(watched, DRAIN_S if drain else 0 if looks else FOREVER_S):
             case None:
-                if drain is None:
+                if looks:
                     notice.silent(asked)
-                time.sleep(DRAIN_S if drain else notice.each / 1e6)
+                looks = False
+            case (signal.SIGURG, *_):
+                looks = True
             case (signal.SIGUSR1, *_):
                 log.info("counters", **instance.counters.read(), **instance.figures())
             case (signal.SIGHUP, *_):
-                stale = True
-            case _ if drain is None:
+                stale.set()
+            case (signal.SIGTERM | signal.SIGINT, *_) if drain is None:
                 signal.signal(signal.SIGINT, signal.SIG_DFL)
                 signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGINT})
                 watched.discard(signal.SIGINT)
                 drain = threading.Thread(target=instance.drain, args=(notice.given(clock()),), daemon=True)
                 drain.start()
-        if stale and not (reload and reload.is_alive()):
-            stale = False
-            reload = threading.Thread(target=_reload, args=(instance, config, plan, plan_key), daemon=True)
-            reload.start()
+            case _:
+                # Python 3.11: a wait that a pause interrupts past its time-out tells of a signal that nobody sent
+                looks = looks or drain is None
     sys.stderr.flush()
     os._exit(0)  # threads that wait on sockets are not waited for
 
 
+def _reload_forever(stale: threading.Event, instance: Instance, *paths: str) -> None:
+    while stale.wait():
+        stale.clear()
+        try:
+            _reload(instance, *paths)
+        except Exception:
+            instance.log.exception("the configuration could not be read anew")
+
+
 def _reload(instance: Instance, *paths: str) -> None:
     """Nothing in a new file may end the process: a faulty one leaves all as it is."""
     from .service.config import load
--- a/hollystage/service/driver.py
+++ b/hollystage/service/driver.py
@@ -63,6 +63,7 @@
         self.changed = threading.Event()  # health
         self.stopped = self.used = self.leaving = False
         self.notice: Notice | None = None  # kept by whoever hears the signals, where somebody does
+        self.look: Callable[[], None] = lambda: None  # has them look for a notice now
         self.steer: Steer | None = None  # what peers and stored state tell the module, where the plan has them
         self.control = Control(settings, seed, clock())
         self._settle(clock())
@@ -97,8 +98,11 @@
     def _await_a_look(self, came: int) -> None:
         """Guards the grace of a drain where the process slept: a notice may lie there unheard. Harms where the
         thread that hears is starved: what comes then is late by half a second at the most."""
+        if self.notice is None or self.leaving or not self.notice.in_doubt(came):
+            return
+        self.look()
         until = time.monotonic() + HEARD_S
-        while self.notice is not None and not self.leaving and self.notice.in_doubt(came):
+        while not self.leaving and self.notice.in_doubt(came):
             if time.monotonic() > until:
                 self.counters.add("instance.unheard")
                 return
@@ -228,6 +232,8 @@
                 now = clock()
                 if now < self.next_tick:
                     continue
+                if self.notice is not None and not self.leaving:
+                    self.notice.beat(now)
                 if self.steer is not None:
                     self.steer.tick(self.control, self.calls_ended, now)
                 self.control.tick(self.gauges if now - self.gauges_at < STALE else {}, now)
