Advice to stay only where what comes was turned away elsewhere too

The line: _life's pushback asked for it wherever a quarter bounced here. Assumption that fell: a pressed box means a pressed fleet. Change: a tenth of what is read must come from servers that turned it away before (marked, or by its age).

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -32,6 +32,7 @@
 FULL_HOLD = 0.25  # share of a target that the hold may take up before callers are asked to send less
 UNREAD, BLIND = 0.05, 0.15  # reading costs: share of a target that RPCs lie unread, of the cores it takes
 BOUNCED, FLOOD = 0.25, 0.7  # shares of what is read pushed back: little use elsewhere; callers flood the box
+PASSED = 0.1  # share of what is read that others turned away before: they are pressed too
 CALLERS, SHORTEST = 4096, 10_000  # callers remembered at the most; shortest idle limit of connections
 BINS, COMMON, STAY = 50, 0.125, 0.998  # steps of patiences; share that tells a first try's; share kept a try
 DROWNED, CLEAR = 0.3, 0.01  # shares of the longest target that RPCs lie unread: tables may fill, until
@@ -113,7 +114,7 @@
         self.pressed, self.stuck, self.drowned, self.healthy = False, False, False, True
         self.seen: dict[int, int] = {}
         self.idle, self.known = settings.longest_idle, Decaying(now, max(SPAN, settings.longest_idle))
-        self.unread, self.turned, self.odd = (Decaying(now, RECENT) for _ in range(3))
+        self.unread, self.turned, self.odd, self.passed = (Decaying(now, RECENT) for _ in range(4))
         targets = [m.latency_target for m in settings.methods]
         self.shortest, self.longest = min(targets), max(targets)
         least = min(m.criticality for m in settings.methods)
@@ -147,6 +148,7 @@
         if self.stop:
             rpc.due = max(now, min(rpc.due, self.stop - 3 * TICK))
         rpc.target = read_at + method.latency_target - self._age(rpc)
+        self.passed.add(rpc.further or rpc.target < read_at + method.latency_target, now)
         client = self.clients.get((rpc.tenant, method))
         if client is None:
             rho = GENEROUS * self.set.cores / len(self.set.methods) / max(1, len(self.set.tenants))
@@ -245,8 +247,8 @@
         if held and busy < HIGH and crowd < self.set.cores and not self.stuck:
             self.lim += 1
         else:
-            # more runs than keep the cores busy only slow each other down, and past some crowd, told nowhere, all
-            # get less done; harms where runs wait for disk so briefly that the gauge never shows it
+            # more runs than keep the cores busy only slow each other down, and past some crowd, told nowhere,
+            # get less done in all; harms where waits for disk are so brief that the gauge never shows them
             self.lim -= (self.lim - self.set.cores) * 0.05
         self.lim = max(float(self.set.cores), min(self.lim, self._crowd()))
         if self.pools is not None:
@@ -287,8 +289,7 @@
         unwanted = self._unwanted(rpc)
         if unwanted:
             self.turned.add(1, self.now, 0)
-            # one pressed box may have idle neighbours; where much bounces they are likely no better off
-            yield self._push_back(rpc, last=unwanted == "late" or self._bouncing(BOUNCED) and not self.room_elsewhere)
+            yield self._push_back(rpc, last=unwanted == "late" or self._no_better_off())
             return
         if rpc.earlier is not None and rpc.earlier.place == HELD and tokened:
             # the newer try takes the place of the held one: its caller has most likely given the older up
@@ -394,6 +395,14 @@
     def _bouncing(self, share: float) -> bool:
         return self.turned.mean(self.now) > share
 
+    def _no_better_off(self) -> bool:
+        """Whether other servers are likely as pressed: much bounces here, and a part of it did elsewhere.
+
+        Guards a fleet that is pressed as a whole against reading again and again what it turns away; one box
+        under more than the others (popular subjects, a slow core) sends its callers on. Harms a pressed fleet
+        whose callers neither mark further tries nor tell their patience: it looks like a single box."""
+        return (self._bouncing(BOUNCED) and self.passed.mean(self.now) > PASSED) and not self.room_elsewhere
+
     def _reading_lags(self) -> bool:
         return self.unread.mean(self.now) > UNREAD * self.shortest
 
