What lies in a tenant's share may just fit, and may go elsewhere

Assumption that fell: methods of the least criticality are worth least, whosever they are. Change: inside a share three quarters of a usual cost suffice where much bounces, and no advice to stay is given while time is left.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -28,6 +28,7 @@
 SLOW, LATE = 3.0, 30_000  # a call so many times slower is one; a timer so late means that we were stalled
 ODD, SILENT = 0.4, 30.0  # share of slow or lost replies that is no trouble below; usual calls waited for one
 CHOOSY, HANG = 1.3, 4.0  # usual costs that must fit before the target where much bounces; that mean a hang
+INSIDE = 0.75  # in place of the former for what lies in a tenant's share
 WIDE, NARROW = 4.0, 0.75  # widest window for a caller over the cores; the second where RPCs lie unread
 FULL_HOLD = 0.25  # share of a target that the hold may take up before callers are asked to send less
 UNREAD, BLIND = 0.05, 0.15  # reading costs: share of a target that RPCs lie unread, of the cores it takes
@@ -289,7 +290,8 @@
         unwanted = self._unwanted(rpc)
         if unwanted:
             self.turned.add(1, self.now, 0)
-            yield self._push_back(rpc, last=unwanted == "late" or self._no_better_off())
+            stay = unwanted == "late" or not self._in_share(rpc) and self._no_better_off()
+            yield self._push_back(rpc, last=stay)
             return
         if rpc.earlier is not None and rpc.earlier.place == HELD and tokened:
             # the newer try takes the place of the held one: its caller has most likely given the older up
@@ -403,6 +405,11 @@
         whose callers neither mark further tries nor tell their patience: it looks like a single box."""
         return (self._bouncing(BOUNCED) and self.passed.mean(self.now) > PASSED) and not self.room_elsewhere
 
+    def _in_share(self, rpc: Rpc) -> bool:
+        """Most likely worth its method's criticality in full. Guards the tenants within their shares against
+        being turned away alike with one that sends far beyond its own; harms where shares add up to too much."""
+        return rpc.tenant is not None and rpc.level == 1
+
     def _reading_lags(self) -> bool:
         return self.unread.mean(self.now) > UNREAD * self.shortest
 
@@ -444,7 +451,9 @@
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
         """Whether what is left before the latency target no longer fits the RPC's usual cost."""
         # a run that may just fit is worth the try for the critical, waste for the least where much bounces
-        costs = CHOOSY if self.rank[rpc.method] >= 1 and self._bouncing(BOUNCED) else self.rank[rpc.method]
+        costs = self.rank[rpc.method]
+        if self._bouncing(BOUNCED):
+            costs *= INSIDE if self._in_share(rpc) else CHOOSY if costs >= 1 else 1
         return self.now + wait + costs * self._work(rpc) > min(rpc.target, rpc.due)
 
     def _cost(self, method: Method) -> float:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -483,3 +483,19 @@
     box.send(hint=hint)
     box.wait(3 * SECOND, cores=0.5, crowd=1.0)
     assert box.control.healthy is healthy
+
+
+@pytest.mark.parametrize("told, level, tried", [(True, 1, True), (True, 2, False), (False, 1, False)])
+def test_where_much_bounces_what_lies_in_a_tenants_share_may_just_fit_and_go_elsewhere(told, level, tried):
+    tenant = Tenant(10.0) if told else None
+    box = Box(lookup(latency_target=SECOND), tenants=[tenant] if told else [], memory=400.0)
+    for _ in range(20):
+        box.control.runs[box.methods[0]].add(9 * SECOND // 10, box.now)
+    for _ in range(5):  # no memory for these: much bounces, here and elsewhere
+        box.send(tenant=tenant, size=500.0, further=True)
+        box.now += 2 * SECOND
+    sent = [box.send(tenant=tenant, size=500.0, further=True) for _ in range(60)]
+    rpc = next(rpc for rpc in sent[1:] if (rpc.level == 1) is (level == 1))
+    rpc.target = box.now + 8 * SECOND // 10
+    assert box.control._hopeless(rpc) is not tried
+    assert [a.flag for a in box.log if a.rpc is rpc] == [not tried]
