At most a quarter of what is read is sent on where nothing tells how others fare

Change: in _no_better_off a bound of its own kind, as a retry budget: once a quarter of what was read in the last second was sent on, the rest is asked to stay. The bound is BOUNCED, no new figure. 91 tests of the module pass.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -115,7 +115,8 @@
         self.pressed, self.stuck, self.drowned, self.healthy = False, False, False, True
         self.seen: dict[int, int] = {}
         self.idle, self.known = settings.longest_idle, Decaying(now, max(SPAN, settings.longest_idle))
-        self.unread, self.turned, self.odd, self.passed = (Decaying(now, RECENT) for _ in range(4))
+        self.unread, self.turned, self.odd, self.passed, self.sent_on = (
+            Decaying(now, RECENT) for _ in range(5))
         targets = [m.latency_target for m in settings.methods]
         self.shortest, self.longest = min(targets), max(targets)
         least = min(m.criticality for m in settings.methods)
@@ -158,6 +159,7 @@
         if not self.places[RUNNING]:
             self._progress()  # so that cores which hang in reading are seen too
         self.turned.add(0, now)
+        self.sent_on.add(0, now)
         self.known.add(now - self.seen.get(rpc.caller, -self.set.longest_idle) < self.set.longest_idle, now)
         if len(self.seen) > CALLERS:
             self.seen.clear()  # guards the memory where callers come back under new numbers
@@ -291,6 +293,7 @@
         if unwanted:
             self.turned.add(1, self.now, 0)
             stay = unwanted == "late" or not self._in_share(rpc) and self._no_better_off()
+            self.sent_on.add(not stay, self.now, 0)
             yield self._push_back(rpc, last=stay)
             return
         if rpc.earlier is not None and rpc.earlier.place == HELD and tokened:
@@ -401,13 +404,15 @@
         """Whether other servers are likely as pressed: much bounces here, and a part of it did elsewhere.
 
         Guards a fleet that is pressed as a whole against reading again and again what it turns away; one box
-        under more than the others (popular subjects, a slow core) sends its callers on. Harms a pressed fleet
-        whose callers neither mark further tries nor tell their patience: it looks like a single box."""
-        return (self._bouncing(BOUNCED) and self.passed.mean(self.now) > PASSED) and not self.room_elsewhere
+        under more than the others (popular subjects, a slow core) sends its callers on. Where callers neither
+        mark further tries nor tell their patience the two look alike: there a part of what is read is sent
+        on, too little to drown the others if they are pressed too, enough to relieve a box that alone is."""
+        pressed_too = self.passed.mean(self.now) > PASSED or self.sent_on.mean(self.now) > BOUNCED
+        return self._bouncing(BOUNCED) and pressed_too and not self.room_elsewhere
 
     def _in_share(self, rpc: Rpc) -> bool:
         """Most likely worth its method's criticality in full. Guards the tenants within their shares against
-        being turned away alike with one that sends far beyond its own; harms where shares add up to too much."""
+        being turned away alike with one that sends far beyond its own; harms where they add up to too much."""
         return rpc.tenant is not None and rpc.level == 1
 
     def _reading_lags(self) -> bool:
