--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -291,11 +291,13 @@
     return sum(second.served[name] for at, second in box.seconds.items() if start <= at < end)
 
 
-@pytest.mark.parametrize("trouble, best", [("slow", 12.0), ("waves", 12.0), ("weak", 10.0), ("dead", 4.0)])
-def test_no_fixed_limit_does_clearly_better_in_trouble(trouble, best):
-    adaptive = [Scene(trouble, seed, **LIMITED).run().worth(5, 45) for seed in (1, 2, 3)]
+# "dead" swings by 0.02 from seed to seed: three of them tell nothing of a hundredth
+@pytest.mark.parametrize("trouble, best, seeds", [("slow", 12.0, 3), ("waves", 12.0, 3), ("weak", 10.0, 3),
+                                                  ("dead", 4.0, 10)])
+def test_no_fixed_limit_does_clearly_better_in_trouble(trouble, best, seeds):
+    adaptive = [Scene(trouble, seed, **LIMITED).run().worth(5, 45) for seed in range(1, seeds + 1)]
     fixed = [Scene(trouble, seed, seconds=45, below=Below("fixed", best, best)).run().worth(5, 45)
-             for seed in (1, 2, 3)]
+             for seed in range(1, seeds + 1)]
     assert sum(adaptive) > 0.985 * sum(fixed)  # the measurement proper: benchmarks/pools.py
 
 
