--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -412,7 +412,7 @@
 
     def _in_share(self, rpc: Rpc) -> bool:
         """Most likely worth its method's criticality in full. Guards the tenants within their shares against
-        being turned away alike with one that sends far beyond its own; harms where they add up to too much."""
+        being turned away like one that sends far beyond its own; harms where they add up to too much."""
         return rpc.tenant is not None and rpc.level == 1
 
     def _reading_lags(self) -> bool:
