--- a/benchmarks/comeback.py
+++ b/benchmarks/comeback.py
@@ -267,7 +267,7 @@
 def snapshot(methods: int = 16, times: int = 200) -> None:
     """What keeping and reading cost: under the driver's lock, beside it, and at a start."""
     from hollystage.control import Control
-    from hollystage.decisions.recovery import harvest, sow
+    from hollystage.decisions.comeback.recovery import harvest, sow
     from hollystage.interface import Kind, Method
     from hollystage.standins.scenes import settings_of
     from hollystage.store import snapshot as stored
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -30,7 +30,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 sys.path.insert(0, ROOT)
 
-from hollystage.decisions.membership import Members, Terms  # noqa: E402
+from hollystage.decisions.membership.members import Members  # noqa: E402
+from hollystage.decisions.membership.terms import Terms  # noqa: E402
 from hollystage.standins.fleet.draw import SCENES  # noqa: E402
 from hollystage.standins.fleet.faults import Fault  # noqa: E402
 from hollystage.standins.fleet.twin import SECOND, Node, Twin  # noqa: E402
@@ -173,7 +174,7 @@
     """Mutated, foreign, replayed and oversized datagrams at one agent of three; what changes is told."""
     import structlog
 
-    from hollystage.decisions.records import Digest, Stage
+    from hollystage.decisions.membership.records import Digest, Stage
     from hollystage.fleet.agent import Agent
     from hollystage.service.counters import Counters
     from hollystage.service.driver import clock
--- a/hollystage/cli.py
+++ b/hollystage/cli.py
@@ -36,7 +36,7 @@
     SIGUSR1 logs the counters.
     """
     entered = time.monotonic()
-    from .decisions.notice import Notice
+    from .decisions.leaving.notice import Notice
     from .service.config import load
     from .service.driver import clock
     from .service.instance import Instance
--- a/hollystage/decisions/__init__.py
+++ b/hollystage/decisions/__init__.py
@@ -1,1 +1,1 @@
-"""What subsystems decide, one module a matter: no I/O, no thread, no clock. Times are handed in, in microseconds."""
+"""What subsystems decide, one folder a matter: no I/O, no thread, no clock. Times are handed in, in microseconds."""
--- a/hollystage/decisions/limits.py
+++ b/hollystage/decisions/calls/limits.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ..interface import Outcome
+from ...interface import Outcome
 
 UNPROVEN = (Outcome.TIMEOUT, Outcome.RESET)  # the reply was lost, which may be a single one's fate
 REFUSED = (Outcome.FULL, Outcome.CONNECT_FAILED)
@@ -241,21 +241,3 @@
     """
     made: Limit = POLICIES[policy](start, least, most, now)  # type: ignore[assignment]
     return made
-
-
-class Stalls:
-    """Tells that our own process woke late: what it saw of others meanwhile is its own delay.
-
-    >>> stalls = Stalls(2_000)
-    >>> stalls.woke(0, 50_000), stalls.woke(51_500, 50_000), stalls.woke(200_000, 50_000)
-    (0, 0, 98500)
-    """
-
-    def __init__(self, slack: int) -> None:
-        self.slack, self.due = slack, 0
-
-    def woke(self, now: int, next_in: int) -> int:
-        """How late the timer that was due came, in microseconds; 0 within the slack. `next_in`: to the next."""
-        late = now - self.due if self.due else 0
-        self.due = now + next_in
-        return late if late > self.slack else 0
--- a/hollystage/decisions/pools.py
+++ b/hollystage/decisions/calls/pools.py
@@ -16,8 +16,8 @@
 from dataclasses import dataclass, field, replace
 from math import ceil, exp, floor
 
-from ..interface import Pool, Pooling, Rpc, Seat
-from .budget import Budget
+from ...interface import Pool, Pooling, Rpc, Seat
+from .further import Budget
 from .limits import Ended, Limit, limit_of
 
 MEMORY = 1_000_000  # over which the use of fractional guarantees is remembered
--- a/hollystage/decisions/comeback.py
+++ b/hollystage/decisions/comeback/pilot.py
@@ -6,13 +6,10 @@
 """
 from __future__ import annotations
 
-import random
 from typing import Any, NamedTuple, Protocol
 
-from .records import Stage, View
+from ..membership.records import Stage, View
 
-# what the whole fleet may ask for a second while it comes back, whatever its size
-BUDGETS = {"exchange": 200.0, "fetch": 50.0, "report": 400.0}
 MANY = 0.25  # of all that are known, cold or starting: a start of many
 FIRST = 0.1  # share of its usual calls that a cold instance begins with
 GROWTH, CUT, LEAST = 1.6, 0.5, 0.03  # a step up, a step down, the least share
@@ -42,22 +39,6 @@
                   young >= max(2, MANY * len(living)))
 
 
-class Turns:
-    """When this instance does what many would else do at once."""
-
-    def __init__(self, seed: int) -> None:
-        self.chance = random.Random(seed)
-
-    def wait(self, what: str, contenders: int) -> int:
-        """Microseconds: drawn evenly over the time that all contenders need at the fleet's budget.
-
-        >>> turns = Turns(1)
-        >>> all(0 <= turns.wait("report", 300) <= 750_000 for _ in range(100)), turns.wait("report", 1) <= 2500
-        (True, True)
-        """
-        return int(self.chance.random() * max(1, contenders) / BUDGETS[what] * 1e6)
-
-
 class Ramp:
     """The share of its usual calls that a cold instance may make; 1 once it has been borne."""
 
--- a/hollystage/decisions/recovery.py
+++ b/hollystage/decisions/comeback/recovery.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
-from ..interface import Kind as MethodKind
-from ..interface import Method, Settings
-from .records import Belief, Record, Stage, View
+from ...interface import Kind as MethodKind
+from ...interface import Method, Settings
+from ..membership.records import Belief, Record, Stage, View
 
 MOST_RUNS = 10.0  # runs that a stored cost counts for, at the most: what is measured here outweighs it at once
 LONGEST_US = 3.6e9  # no cost or call takes longer
--- /dev/null
+++ b/hollystage/decisions/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: each instance's view of the others."""
--- a/hollystage/fleet/agent.py
+++ b/hollystage/fleet/agent.py
@@ -16,9 +16,11 @@
 
 import msgspec
 
-from ..decisions.doors import Allowance, Doors, Verdict
-from ..decisions.membership import Answer, Event, Meet, Members, Opening, Rest, Terms
-from ..decisions.records import Belief, Digest, News, Record, Stage, View
+from ..decisions.membership.doors import Allowance, Doors, Verdict
+from ..decisions.membership.members import Members
+from ..decisions.membership.records import Belief, Digest, News, Record, Stage, View
+from ..decisions.membership.terms import Terms
+from ..decisions.membership.words import Answer, Event, Meet, Opening, Rest
 from .codec import DATAGRAM, FRAME, Challenge, Codec, Envelope, Fetch, Lent, Refused, Show, Shown, Word
 from .links import STREAM_S, Cut, Frames, Links
 
--- a/hollystage/fleet/ask.py
+++ b/hollystage/fleet/ask.py
@@ -5,7 +5,7 @@
 import socket
 import time
 
-from ..decisions.records import Record
+from ..decisions.membership.records import Record
 from .codec import FRAME, Challenge, Codec, Envelope, Refused, Show, Shown
 from .links import STREAM_S, Cut, Frames, address_of
 
--- a/hollystage/fleet/codec.py
+++ b/hollystage/fleet/codec.py
@@ -13,8 +13,8 @@
 import msgspec
 from blake3 import blake3
 
-from ..decisions.membership import Ack, Answer, Ask, Nack, Opening, Ping, Rest
-from ..decisions.records import News, Record
+from ..decisions.membership.records import News, Record
+from ..decisions.membership.words import Ack, Answer, Ask, Nack, Opening, Ping, Rest
 
 MAGIC, VERSION = b"hy", 1
 HASH = 16
--- a/hollystage/service/driver.py
+++ b/hollystage/service/driver.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from ..control import Control
-from ..decisions.notice import Notice
+from ..decisions.leaving.notice import Notice
 from ..interface import Action, Do, Outcome, Pooling, Rpc, Settings
 from .counters import Counters
 from .exchange import GONE, Ended, Exchange
--- a/hollystage/service/peers.py
+++ b/hollystage/service/peers.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from ..decisions.membership import Terms
-from ..decisions.records import Digest, Stage, View
-from ..decisions.recovery import machine_mark
+from ..decisions.comeback.recovery import machine_mark
+from ..decisions.membership.records import Digest, Stage, View
+from ..decisions.membership.terms import Terms
 from ..fleet.agent import Agent
 from ..plan import sections
 from ..plan.compiled import Damaged, digest, read_key
--- a/hollystage/service/steering.py
+++ b/hollystage/service/steering.py
@@ -11,10 +11,11 @@
 import msgspec
 
 from ..control import Control
-from ..decisions import recovery
-from ..decisions.comeback import Pilot, Pressure, Turns
-from ..decisions.records import View
-from ..decisions.recovery import Doubt, Learned
+from ..decisions.comeback import recovery
+from ..decisions.comeback.pilot import Pilot, Pressure
+from ..decisions.comeback.recovery import Doubt, Learned
+from ..decisions.membership.records import View
+from ..decisions.turns import Turns
 from ..fleet.agent import Agent
 from ..fleet.codec import Fetch, Lent
 from ..store import snapshot
--- a/hollystage/standins/fleet/aftermath.py
+++ b/hollystage/standins/fleet/aftermath.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Any
 
-from ...decisions.recovery import KINDS
+from ...decisions.comeback.recovery import KINDS
 from .check import SECOND, WINDOW_S, Violation, troubles
 from .history import Line
 
--- a/hollystage/standins/fleet/breaks.py
+++ b/hollystage/standins/fleet/breaks.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from ...decisions.membership import Members
-from ...decisions.records import Record
+from ...decisions.membership.members import Members
+from ...decisions.membership.records import Record
 
 
 def _put(owner: Any, name: str, value: Any) -> None:
@@ -54,14 +54,14 @@
 
 def _babble() -> None:
     """News is told for ever, and every datagram is answered with another."""
-    from ...decisions.news import Gazette
+    from ...decisions.membership.news import Gazette
 
     _put(Gazette, "limit", lambda self, members: 1 << 30)
     heard = Members.heard
 
     def more(self: Members, sender: Record, word: Any, news: Any, now: int) -> None:
         heard(self, sender, word, news, now)
-        from ...decisions.membership import Ping
+        from ...decisions.membership.words import Ping
         for name in self._some(2):
             self.seq += 1
             if self.seq % 3:
@@ -127,7 +127,7 @@
 
 def _hear_late() -> None:
     """A notice counts from when it is heard, and nothing waits for a look after a sleep."""
-    from ...decisions.notice import Notice
+    from ...decisions.leaving.notice import Notice
 
     _put(Notice, "given", lambda self, now: now)
     _put(Notice, "in_doubt", lambda self, came: False)
@@ -148,7 +148,7 @@
 
 def _no_doubt() -> None:
     """After a start without its table every further try is run."""
-    from ...decisions.recovery import Doubt
+    from ...decisions.comeback.recovery import Doubt
 
     _put(Doubt, "may_have_run", lambda *_: False)
 
@@ -168,7 +168,7 @@
 
 def _recovery(name: str, value: Any) -> Callable[[], None]:
     def seed() -> None:
-        from ...decisions import recovery
+        from ...decisions.comeback import recovery
         from ...store import snapshot
 
         _put(recovery, name, value)
@@ -179,7 +179,7 @@
 
 def _one_lender() -> None:
     """The first peer's word is taken."""
-    from ...decisions import recovery
+    from ...decisions.comeback import recovery
     from ...service import steering
 
     _put(recovery, "agreed", lambda lent, machine: lent[0] if lent else None)
@@ -199,7 +199,7 @@
 
 def _promise_all() -> None:
     """Every caller is told the next slot, whatever was given away before."""
-    from ...decisions.calendar import SLOT, Calendar
+    from ...decisions.comeback.calendar import SLOT, Calendar
 
     def promise(self: Calendar, caller: int, method: int, now: int, latest: int) -> int:
         self.promises[caller, method] = now + SLOT
@@ -209,7 +209,7 @@
 
 def _calls_unbound() -> None:
     """What is below is asked for twenty times an instance's share, and slow replies are no sign of anything."""
-    from ...decisions.comeback import Pilot
+    from ...decisions.comeback.pilot import Pilot
 
     def steer(self: Pilot, control: Any, bounds: Any) -> None:
         control.below.bound(20 * self.most, 20 * self.most)
--- a/hollystage/standins/fleet/crowd.py
+++ b/hollystage/standins/fleet/crowd.py
@@ -15,9 +15,9 @@
 
 import msgspec
 
-from ...decisions.comeback import Pilot, Pressure
-from ...decisions.records import Stage
-from ...decisions.recovery import Doubt
+from ...decisions.comeback.pilot import Pilot, Pressure
+from ...decisions.comeback.recovery import Doubt
+from ...decisions.membership.records import Stage
 from ...interface import Action, Do, Kind, Outcome, Rpc, Settings
 from ..ledger import LedgerModel, Terms
 from ..scenes import settings_of
--- a/hollystage/standins/fleet/member.py
+++ b/hollystage/standins/fleet/member.py
@@ -69,7 +69,7 @@
     bent = Bent(spec["clock"])
     driver.clock = bent  # before anything else has taken it
     signal.signal(signal.SIGUSR2, bent.read)
-    from ...decisions.membership import Event
+    from ...decisions.membership.words import Event
     from ...fleet.agent import Agent
 
     told = Agent.tell
--- a/hollystage/standins/fleet/twin.py
+++ b/hollystage/standins/fleet/twin.py
@@ -11,8 +11,10 @@
 from functools import partial
 from hashlib import blake2b
 
-from ...decisions.membership import Answer, Meet, Members, Opening, Rest, Send, Terms, Word
-from ...decisions.records import Digest, News, Record, Stage
+from ...decisions.membership.members import Members
+from ...decisions.membership.records import Digest, News, Record, Stage
+from ...decisions.membership.terms import Terms
+from ...decisions.membership.words import Answer, Meet, Opening, Rest, Send, Word
 from ..sharing import Clock
 from .faults import Fault, Net
 
--- a/hollystage/store/snapshot.py
+++ b/hollystage/store/snapshot.py
@@ -3,7 +3,7 @@
 
 import msgspec
 
-from ..decisions.recovery import Learned, age
+from ..decisions.comeback.recovery import Learned, age
 from .folder import Folder, Unusable
 
 FORM = 1
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,8 +3,9 @@
 
 import structlog
 
-from hollystage.control import TICK, Control
+from hollystage.control import Control
 from hollystage.interface import Do, Halt, Kind, Method, Outcome, Rpc, Say, Settings
+from hollystage.policy.buckets import TICK
 from hollystage.service.config import parse
 from hollystage.service.instance import Instance
 from hollystage.standins.caller import Caller
--- a/tests/test_comeback.py
+++ b/tests/test_comeback.py
@@ -6,11 +6,9 @@
 import pytest
 
 from hollystage.control import Control
-from hollystage.decisions.calendar import LEAST, Calendar
-from hollystage.decisions.comeback import BUDGETS, FIRST, Bounds, Pilot, Ramp, Stance, Turns, stance
-from hollystage.decisions.membership import Terms
-from hollystage.decisions.records import Belief, Digest, Record, Stage, View
-from hollystage.decisions.recovery import (
+from hollystage.decisions.comeback.calendar import LEAST, Calendar
+from hollystage.decisions.comeback.pilot import FIRST, Bounds, Pilot, Ramp, Stance, stance
+from hollystage.decisions.comeback.recovery import (
     FOREVER,
     KINDS,
     Doubt,
@@ -23,6 +21,9 @@
     sow,
     weight,
 )
+from hollystage.decisions.membership.records import Belief, Digest, Record, Stage, View
+from hollystage.decisions.membership.terms import Terms
+from hollystage.decisions.turns import BUDGETS, Turns
 from hollystage.interface import Kind, Method, Rpc
 from hollystage.standins.fleet.aftermath import comeback, figures
 from hollystage.standins.fleet.faults import Fault
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -1,8 +1,9 @@
 import pytest
 from helpers import SECOND, Box, booking, lookup
 
-from hollystage.control import BUCKETS, CALLERS, Client
+from hollystage.control import CALLERS
 from hollystage.interface import Do, Halt, Kind, Outcome, Say, Tenant
+from hollystage.policy.buckets import BUCKETS, Client
 
 START, PUSH_BACK, ABORT, HALT, JOIN, KEEP = Do.START, Do.PUSH_BACK, Do.ABORT, Do.HALT, Do.JOIN, Do.KEEP
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,9 +15,10 @@
 from typer.testing import CliRunner
 
 from hollystage.cli import app
-from hollystage.decisions.doors import Doors, Verdict
-from hollystage.decisions.membership import Ack, Answer, Ask, Nack, Opening, Ping, Rest, Terms
-from hollystage.decisions.records import Digest, News, Record, Stage
+from hollystage.decisions.membership.doors import Doors, Verdict
+from hollystage.decisions.membership.records import Digest, News, Record, Stage
+from hollystage.decisions.membership.terms import Terms
+from hollystage.decisions.membership.words import Ack, Answer, Ask, Nack, Opening, Ping, Rest
 from hollystage.fleet.agent import Agent
 from hollystage.fleet.codec import DATAGRAM, Challenge, Codec, Envelope, Refused
 from hollystage.fleet.links import Frames
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -9,9 +9,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from hollystage.decisions.membership import Ack, Answer, Members, Ping, Send, Terms
-from hollystage.decisions.news import Gazette, cost
-from hollystage.decisions.records import Belief, Digest, News, Record, Stage, merged
+from hollystage.decisions.membership.members import Members
+from hollystage.decisions.membership.news import Gazette, cost
+from hollystage.decisions.membership.records import Belief, Digest, News, Record, Stage, merged
+from hollystage.decisions.membership.terms import Terms
+from hollystage.decisions.membership.words import Ack, Answer, Ping, Send
 from hollystage.standins.fleet.faults import Fault
 from hollystage.standins.fleet.twin import SECOND, Twin
 
--- a/tests/test_notice.py
+++ b/tests/test_notice.py
@@ -10,7 +10,7 @@
 import pytest
 from helpers import Interpreter, World, until
 
-from hollystage.decisions.notice import BEAT, Notice
+from hollystage.decisions.leaving.notice import BEAT, Notice
 from hollystage.service.buffers import Broken
 
 GRACE_S = 0.3  # as the world's settings have it
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -4,9 +4,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from hollystage.decisions.budget import Budget
-from hollystage.decisions.limits import POLICIES, Ended, Stalls, limit_of
-from hollystage.decisions.pools import NOWHERE, Cheapest, Places
+from hollystage.decisions.calls.further import Budget
+from hollystage.decisions.calls.limits import POLICIES, Ended, limit_of
+from hollystage.decisions.calls.pools import NOWHERE, Cheapest, Places
+from hollystage.decisions.stalls import Stalls
 from hollystage.interface import Below, Do, Outcome, Pool, Pooling, Reserve
 from hollystage.language.sources import Memory
 from hollystage.plan.read import read
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -9,7 +9,7 @@
 from typer.testing import CliRunner
 
 from hollystage.cli import app
-from hollystage.decisions.membership import Members
+from hollystage.decisions.membership.members import Members
 from hollystage.standins.fleet import check
 from hollystage.standins.fleet.draw import SCENES, drawn, scene
 from hollystage.standins.fleet.faults import Fault, Net, Schedule
