The fleet's calls below by a divided budget: plan, talk, and bounds told before each decision

Need: budgets decided but not gone by. Change: sections leases and budget, checked; their words on the agent's datagrams; fleet/treasury brings names to addresses and publishes parts; service/allotment tells the module its bound, says first which one it goes by and how much is used, and binds it again before the first decision after a part's end, so that one that slept goes by nothing that ended. Off without the plan: nothing of it imported (test).

--- a/hollystage/fleet/agent.py
+++ b/hollystage/fleet/agent.py
@@ -20,8 +20,8 @@
 from ..decisions.membership.members import Members
 from ..decisions.membership.records import Belief, Digest, News, Record, Stage, View
 from ..decisions.membership.terms import Terms
-from ..decisions.membership.words import Answer, Event, Meet, Opening, Rest
-from .codec import DATAGRAM, FRAME, Challenge, Codec, Envelope, Fetch, Lent, Refused, Show, Shown, Word
+from ..decisions.membership.words import Ack, Answer, Ask, Event, Meet, Nack, Opening, Ping, Rest
+from .codec import DATAGRAM, FRAME, Challenge, Codec, Envelope, Fetch, Guest, Lent, Refused, Show, Shown, Word
 from .links import STREAM_S, Cut, Frames, Links
 
 AT_ONCE = 64  # datagrams that are taken before what is due is looked at
@@ -30,6 +30,7 @@
 KEPT, STREAMS = 64, 4  # datagrams that may yet be sent again behind another door; streams at once
 AGAIN_S = 1.0  # between tries to bind the address
 PROVOKED = 200.0  # challenges a second, at the most
+EVER = 1 << 62
 BAD = {"suspect", "lost", "twin", "ousted", "alone", "raised", "slept", "accused"}
 
 
@@ -37,6 +38,18 @@
     def add(self, name: str, amount: int = 1) -> None: ...
 
 
+class Tenant(Protocol):
+    """Who talks over the same sockets beside membership. Called under the agent's lock: nothing in it waits."""
+
+    next_at: int
+
+    def heard(self, sender: Record, word: Guest) -> list[tuple[str, Guest]]: ...
+    def tick(self, members: Members) -> list[tuple[str, Guest]]: ...
+    def leave(self, members: Members) -> list[tuple[str, Guest]]: ...
+    def shown(self, what: str) -> dict[str, Any] | None: ...
+    def figures(self) -> dict[str, float]: ...
+
+
 class Agent:
     """`digest` tells what this process says of itself; it is asked often and must not wait. `keep` is given a
     boot number that had to be raised, before others hear of it twice."""
@@ -53,6 +66,7 @@
         self.doors, self.turned_at = Doors(1 + secrets.randbits(60)), now
         self.lock = threading.Lock()
         self.view: View = self.members.view(now)
+        self.tenant: Tenant | None = None  # where the plan has budgets
         self.lenders: dict[str, Callable[[], bytes]] = {}  # of what others may fetch
         self.out: list[tuple[str, bytes]] = []  # made under the lock, sent outside of it
         self.sent: OrderedDict[int, tuple[str, Word, list[News]]] = OrderedDict()
@@ -72,7 +86,8 @@
         with self.lock:
             self.members.begin(self.clock())
         while not self.stopped:
-            data = self.links.receive(max(0.0, min(self.members.next_at - self.clock(), self.look)) / 1e6)
+            next_at = min(self.members.next_at, self.tenant.next_at if self.tenant is not None else EVER)
+            data = self.links.receive(max(0.0, min(next_at - self.clock(), self.look)) / 1e6)
             with self.lock:
                 now, taken = self.clock(), 0
                 while data is not None:
@@ -113,6 +128,8 @@
     def leave(self) -> None:
         """The last word to the others."""
         with self.lock:
+            if self.tenant is not None:
+                self._post(self.tenant.leave(self.members))
             self.members.leave(self.clock())
             ready = self._ready(self.clock())
         if self.opened.is_set():
@@ -129,7 +146,8 @@
             members = self.members
             return {"fleet.living": len(members.living), "fleet.suspects": len(members.suspects),
                     "fleet.gone": len(members.gone), "fleet.health": members.health.score,
-                    **{f"fleet.{name}": count for name, count in sorted(members.counts.items())}}
+                    **{f"fleet.{name}": count for name, count in sorted(members.counts.items())},
+                    **(self.tenant.figures() if self.tenant is not None else {})}
 
     # Datagrams
 
@@ -169,8 +187,23 @@
                     self.out.append((again[0], self._pack(*again)))
             case Opening() | Answer() | Rest() | Show() | Shown() | Fetch() | Lent():
                 self.counters.add("fleet.refused.misplaced")
-            case word:
-                self.members.heard(envelope.me, word, envelope.news, now)
+            case Ping() | Ack() | Ask() | Nack():
+                self.members.heard(envelope.me, envelope.word, envelope.news, now)
+            case word if self.tenant is not None:
+                self._post(self.tenant.heard(envelope.me, word))
+            case _:
+                self.counters.add("fleet.refused.misplaced")
+
+    def _post(self, words: list[tuple[str, Guest]]) -> None:
+        """What a tenant says, on its way; kept for a while, should the other side's door be another."""
+        for address, word in words:
+            self._sent(address, word, [])
+
+    def _sent(self, address: str, word: Word, news: list[News]) -> None:
+        self.out.append((address, self._pack(address, word, news)))
+        self.sent[self.doors.count] = address, word, news
+        if len(self.sent) > KEPT:
+            self.sent.popitem(last=False)
 
     def _judged(self, data: bytes, most: int) -> tuple[Envelope | None, Verdict | None]:
         """Under the lock. No envelope where the bytes are none; believed only where the verdict is good."""
@@ -199,6 +232,8 @@
                 self.doors.turn(1 + secrets.randbits(60))
         if now >= self.members.next_at:
             self.members.tick(now)
+        if self.tenant is not None:
+            self._post(self.tenant.tick(self.members))
 
     def _ready(self, now: int) -> list[tuple[str, bytes]]:
         """Under the lock: what is to be sent outside of it. Events and the view go out here."""
@@ -207,11 +242,7 @@
                 with suppress(Full):
                     self.meets.put_nowait(action.address)
                 continue
-            data = self._pack(*action)
-            self.out.append((action.address, data))
-            self.sent[self.doors.count] = action.address, action.word, action.news
-            if len(self.sent) > KEPT:
-                self.sent.popitem(last=False)
+            self._sent(*action)
         if self.members.changed:
             self.view = self.members.view(now)
         for event in self.members.happened():
@@ -342,6 +373,10 @@
         """What this process holds, for an operator; JSON."""
         view, now = self.view, self.clock()
         if what != "members":
+            with self.lock:
+                table = self.tenant.shown(what) if self.tenant is not None else None
+            if table is not None:
+                return msgspec.json.encode(table)
             return msgspec.json.encode({"fault": f"no table is called {what!r}"})
         rows = [{"name": record.name, "zone": record.zone, "address": record.address, "boot": record.boot,
                  "incarnation": record.incarnation, "belief": Belief(record.belief).name.lower(),
--- a/hollystage/fleet/codec.py
+++ b/hollystage/fleet/codec.py
@@ -13,6 +13,8 @@
 import msgspec
 from blake3 import blake3
 
+from ..decisions.budgets import words as budgets
+from ..decisions.leases import words as leases
 from ..decisions.membership.records import News, Record
 from ..decisions.membership.words import Ack, Answer, Ask, Nack, Opening, Ping, Rest
 
@@ -55,7 +57,10 @@
     body: bytes
 
 
-Word = Ping | Ack | Ask | Nack | Opening | Answer | Rest | Challenge | Show | Shown | Fetch | Lent
+# what is not of membership: for whoever the plan puts there
+Guest = (leases.Prepare | leases.Propose | leases.Release | leases.Reply
+         | budgets.Claim | budgets.Parts | budgets.Elsewhere | budgets.Borrow | budgets.Loan)
+Word = Ping | Ack | Ask | Nack | Opening | Answer | Rest | Challenge | Show | Shown | Fetch | Lent | Guest
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
@@ -85,6 +90,10 @@
             return len(word.name) <= 64 and 0 <= word.seq < 1 << 62
         case Ack():
             return len(word.of) <= 64 and 0 <= word.seq < 1 << 62
+        case leases.Prepare() | leases.Propose() | leases.Release() | leases.Reply():
+            return leases.sane(word)
+        case budgets.Claim() | budgets.Parts() | budgets.Elsewhere() | budgets.Borrow() | budgets.Loan():
+            return budgets.sane(word)
     return True
 
 
--- /dev/null
+++ b/hollystage/fleet/treasury.py
@@ -0,0 +1,87 @@
+"""The budgets' talk: names brought to addresses, and what is decided brought to whoever goes by it, without a lock.
+
+The driver reads `steps` and replaces `uses`, both whole; the agent's thread does the rest under the agent's lock.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ..decisions.budgets.holding import Steps
+from ..decisions.budgets.office import Office
+from ..decisions.budgets.share import Use
+from ..decisions.budgets.words import Message
+from ..decisions.leases.words import Who
+from ..decisions.membership.members import Members
+from ..decisions.membership.records import Record
+from .codec import Guest
+
+LOOK = 20_000  # microseconds between looks at what is used
+
+
+class Treasury:
+    """`clock` is read anew for each word: an answer under a lease that ended a moment ago must not go out."""
+
+    def __init__(self, office: Office, clock: Callable[[], int]) -> None:
+        self.office, self.clock = office, clock
+        self.uses: dict[str, Use] = {}
+        self.steps: dict[str, Steps] = {}
+        self.next_at = 0
+        self.addresses: dict[str, str] = {}
+        self._publish(clock())
+
+    def heard(self, sender: Record, word: Guest) -> list[tuple[str, Guest]]:
+        now = self.clock()
+        self.addresses[sender.name] = sender.address
+        self._look()
+        out = self.office.heard(Who(sender.name, sender.birth), word, now)
+        self._publish(now)
+        return self._addressed(out)
+
+    def tick(self, members: Members) -> list[tuple[str, Guest]]:
+        now = self.clock()
+        if now < self.next_at:
+            return []
+        self._look()
+        self.office.share.barred(members.ousted)
+        self.addresses = {name: record.address for name, record in members.records.items()}
+        out = self.office.tick(members.living, now)
+        self._publish(now)
+        self.next_at = min(now + LOOK, max(now + 1_000, self.office.next_at))
+        return self._addressed(out)
+
+    def leave(self, members: Members) -> list[tuple[str, Guest]]:
+        self.addresses = {name: record.address for name, record in members.records.items()}
+        return self._addressed(self.office.leave(self.clock()))
+
+    def _look(self) -> None:
+        for name, use in self.uses.items():
+            self.office.share.used(name, use)
+
+    def _publish(self, now: int) -> None:
+        self.steps = {name: holding.steps(now) for name, holding in self.office.share.holdings.items()}
+
+    def _addressed(self, messages: list[Message]) -> list[tuple[str, Guest]]:
+        """Who is not known yet is not written to: it is asked again."""
+        return [(self.addresses[to], word) for to, word in messages if to in self.addresses]
+
+    def shown(self, what: str) -> dict[str, Any] | None:
+        now, office = self.clock(), self.office
+        if what == "budgets":
+            return {"me": office.me.name, "divider": office.share.divider, "epoch": office.share.epoch,
+                    "divides": office.divider is not None,
+                    "budgets": [{"name": name, "part": holding.own(now), "usable": holding.usable(now),
+                                 "held": holding.held(now), "using": holding.using, "lent": holding.lends(now),
+                                 "borrowed": holding.borrows(now), "floor": holding.floor(now),
+                                 "left_ms": max(0, holding.ends - now) // 1000}
+                                for name, holding in office.share.holdings.items()],
+                    "counts": office.share.counts}
+        if what == "leases" and office.booth is not None:
+            return {"me": office.me.name, "leases": [
+                {"name": name, "holder": holder.name if (holder := voter.holder(now)) is not None else None,
+                 "number": voter.granted[0] if voter.granted is not None else None,
+                 "left_ms": max(0, voter.until - now) // 1000} for name, voter in office.booth.voters.items()]}
+        return None
+
+    def figures(self) -> dict[str, float]:
+        return self.office.figures(self.clock())
--- a/hollystage/plan/check.py
+++ b/hollystage/plan/check.py
@@ -7,7 +7,7 @@
 
 from ..language.faults import Faults, Where, nearest
 from ..language.units import TIME, Quantity, written
-from . import sections
+from . import fleetwide, sections
 from .model import Plan
 from .sections import Section
 
@@ -42,6 +42,7 @@
         self._pools()
         self._times()
         self._whole()
+        self._budgets()
         self._unused()
 
     def _tell(self, where: Where, what: str, fix: str, warn: bool = False) -> None:
@@ -173,6 +174,29 @@
                 self._tell(at.get("ceiling", where), f"a ceiling of less than one of {machine[0].cores} cores",
                            f"write {-(-100 // machine[0].cores)}% or more")
 
+    def _budgets(self) -> None:
+        """What is divided needs somebody to talk to, and floors that fit into the whole."""
+        fleet = next((value for value, _, _ in self._of(sections.Fleet)), None)
+        talks = isinstance(fleet, sections.Fleet) and fleet.bind is not None
+        seen: dict[str, str] = {}
+        for value, where, at in self._of(fleetwide.Budget):
+            assert isinstance(value, fleetwide.Budget)
+            if value.of in seen:
+                self._tell(at.get("of", where), f'a second budget of {value.of}, beside "{seen[value.of]}"',
+                           "remove one")
+            seen.setdefault(value.of, value.name)
+            if not talks and "fleet" not in self.unread:
+                self._tell(where, "a budget of instances that do not talk", "add fleet(bind = ..., key = ...)")
+            if "leases" not in self.names and "leases" not in self.unread:
+                self._tell(where, "a budget that nobody divides", "add leases(voters = [...])")
+            most = value.most or (fleet.instances if isinstance(fleet, sections.Fleet) else 1)
+            if value.floor * most > value.whole:
+                self._tell(at.get("floor", where), f"floors of {value.floor} for {most} instances are more than the "
+                           f"whole of {value.whole}", f"write {value.whole // most}, or fewer with most = ...")
+        for _, where, _ in self._of(fleetwide.Leases):
+            if not seen and "budget" not in self.unread:
+                self._tell(where, "voters with nothing to vote on", "add budget(...), or remove it", True)
+
     def _unused(self) -> None:
         if "route" in self.unread:
             return
--- a/hollystage/service/config.py
+++ b/hollystage/service/config.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..interface import Below, Pool, Pooling, Reserve
-from ..plan import sections
+from ..plan import fleetwide, sections
 from ..plan.model import Plan
 from ..settings import Deployment, Faulty
 
@@ -138,6 +138,30 @@
                    given.period)
 
 
+class Budgeting(msgspec.Struct, frozen=True):
+    """What is divided among the instances, and by whose leave; times in microseconds."""
+
+    leases: fleetwide.Leases
+    budgets: list[fleetwide.Budget]  # with all their defaults
+    calls: str  # the one that bounds the calls below; empty for none
+
+
+def budgeting(config: Config) -> Budgeting | None:
+    """None where the plan has no budgets, or instances that do not talk: then nothing of them is imported."""
+    plan = config.plan
+    if plan is None or peering(config) is None:
+        return None
+    leases, budgets = plan.one(fleetwide.Leases), plan.of(fleetwide.Budget)
+    if leases is None or not budgets:
+        return None
+    fleet = plan.one(sections.Fleet) or sections.Fleet()
+    longest = int(max(profile.give_up_us for profile in config.settings.profiles)
+                  + config.settings.domain.stays_for_us)
+    return Budgeting(leases, [msgspec.structs.replace(
+        given, most=given.most or fleet.instances, use=given.use or longest) for given in budgets],
+        next((given.name for given in budgets if given.of == "calls"), ""))
+
+
 def state(config: Config) -> sections.State | None:
     """Where what outlives the process is kept; None for nowhere, and then nothing of the store is imported."""
     return config.plan.one(sections.State) if config.plan is not None else None
--- a/hollystage/service/driver.py
+++ b/hollystage/service/driver.py
@@ -43,7 +43,10 @@
 class Steer(Protocol):
     """What is known beside the module's own experience; asked under the driver's lock, so that nothing may wait."""
 
+    until: int  # what was told to the module ends then
+
     def begin(self, control: Control, now: int) -> None: ...
+    def bind(self, control: Control, now: int) -> None: ...
     def tick(self, control: Control, calls: int, now: int) -> None: ...
     def doubted(self, exchange: Exchange, now: int) -> bool: ...
 
@@ -243,6 +246,8 @@
     # Under the lock
 
     def _settle(self, now: int) -> None:
+        if self.steer is not None and now >= self.steer.until:
+            self.steer.bind(self.control, now)
         for action in self.control.decide(now):
             if action.rpc is None:
                 self._turn(action, now)
--- a/hollystage/service/peers.py
+++ b/hollystage/service/peers.py
@@ -22,12 +22,14 @@
 from ..store import boots
 from ..store.folder import Folder, Unusable
 from . import driver as driving
-from .config import Config, Peering, peering, state
+from .config import Config, Peering, budgeting, peering, state
 from .counters import Counters
 from .driver import Driver
 from .interpreter import Link
 from .steering import Steering
 
+PERIODS = 12  # questions about its parts in a lease's length
+
 
 class Peers:
     """Owns the folder and the agent; either may be missing."""
@@ -50,6 +52,7 @@
         self.agent = self.steering.agent = self._agent(config, terms) if terms is not None else None
         if self.agent is not None:
             self.agent.lenders["learned"] = self.steering.lend
+            self._divide(config, self.agent)
 
     def _folder(self, config: Config) -> Folder | None:
         given = state(config)
@@ -71,6 +74,29 @@
         return Agent(config.name, terms.zone, terms.bind, terms.advertise, terms.peers, key, terms.cluster, of,
                      self.seed, self.boot, self.digest, self._keep, self.clock, self.counters, self.log)
 
+    def _divide(self, config: Config, agent: Agent) -> None:
+        """The budgets' talk, on the agent's sockets, and their bounds, through the steering."""
+        given = budgeting(config)
+        if given is None:
+            return
+        from ..decisions.budgets.office import Office
+        from ..decisions.budgets.terms import Budget
+        from ..decisions.leases.terms import Electorate, Terms
+        from ..decisions.leases.words import Who
+        from ..fleet.treasury import Treasury
+        from .allotment import Allotment
+
+        me, leases = agent.members.me, given.leases
+        of = Terms(leases.length, leases.drift)
+        office = Office(
+            Who(me.name, me.birth),
+            [Budget(one.name, one.whole, one.floor, one.most or 1, one.use or 1, one.kept) for one in given.budgets],
+            of, leases.length // PERIODS, Electorate(tuple(leases.voters), tuple(leases.before), leases.generation),
+            of, self.seed, self.clock(), self.boot)
+        agent.tenant = treasury = Treasury(office, self.clock)
+        if given.calls:
+            self.steering.allot(Allotment(treasury, given.calls))
+
     def tasks(self) -> list[Callable[[], None]]:
         agent, tasks = self.agent, [self.steering.keep_forever]
         if agent is None:
--- a/hollystage/service/steering.py
+++ b/hollystage/service/steering.py
@@ -6,7 +6,7 @@
 
 import threading
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import msgspec
 
@@ -28,6 +28,14 @@
 LOOK_S = 0.5
 LENDERS = 2  # peers that are asked for what was lost
 FRESH_RUNS = 30.0  # own runs beyond which nothing lent is taken
+EVER = 1 << 62
+
+
+class Bounding(Protocol):
+    """A budget's part, brought to the module."""
+
+    def tick(self, control: Control, share: float, now: int) -> int: ...
+    def bind(self, control: Control, now: int) -> int: ...
 
 
 class Steering:
@@ -50,6 +58,8 @@
         self.borrowed = self.stopped = False
         self.lent: dict[str, Learned] = {}  # by the peer: one that is asked twice is still one
         self.used: dict[str, float] = {}
+        self.allotment: Bounding | None = None
+        self.until = EVER  # what the module goes by has to be told anew then, before it decides anything
         if folder is not None:
             self.stored, self.age, told = snapshot.read(folder, self.born // 1000)
             if told:
@@ -69,11 +79,23 @@
     def tick(self, control: Control, calls: int, now: int) -> None:
         bounds = self.pilot.bounds(self.view, calls, control.odd.mean(now), control.usual_call, now)
         self.pilot.steer(control, bounds)
+        if self.allotment is not None:
+            ramp = self.pilot.ramp
+            self.until = self.allotment.tick(control, ramp.share if ramp is not None else 1.0, now)
         self.level = self.pressure.level(control.turned.mean(now), now)
         if now >= self.harvest_at:
             self.harvest_at = now + self.every
             self.harvested = recovery.harvest(control, self.names, now)
 
+    def bind(self, control: Control, now: int) -> None:
+        """A part has ended: the module hears of it before it decides."""
+        if self.allotment is not None:
+            self.until = self.allotment.bind(control, now)
+
+    def allot(self, allotment: Bounding) -> None:
+        with self.driver.lock:
+            self.allotment, self.until = allotment, 0
+
     def doubted(self, exchange: Exchange, now: int) -> bool:
         rpc = exchange.rpc
         return self.doubt is not None and exchange.token is not None and self.doubt.may_have_run(
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,6 +15,8 @@
 from typer.testing import CliRunner
 
 from hollystage.cli import app
+from hollystage.decisions.budgets import words as budgets
+from hollystage.decisions.leases import words as leases
 from hollystage.decisions.membership.doors import Doors, Verdict
 from hollystage.decisions.membership.records import Digest, News, Record, Stage
 from hollystage.decisions.membership.terms import Terms
@@ -77,7 +79,13 @@
 
 # Bytes
 
-WORDS = [Ping(1, "b"), Ack(2, "b"), Ask(3, "b", "127.0.0.1:1"), Nack(4), Challenge(5), Opening([1] * 64),
+WHO = leases.Who("b", 7)
+WORDS = [leases.Prepare(1, WHO, 2, "x", 3), leases.Propose(1, WHO, 2, "x"), leases.Release(1, WHO, "x"),
+         leases.Reply(1, True, 5, WHO, 9, "x"), leases.Reply(1, False, 5),
+         budgets.Claim(1, 2, [budgets.Row("calls", 5, 4, 1, 3, 6, 1.5)]),
+         budgets.Parts(1, 2, [budgets.Piece("calls", 4)]), budgets.Elsewhere(1, "b"), budgets.Borrow(1, "calls", 2),
+         budgets.Loan(1, "calls", 2, 500), Ping(1, "b"), Ack(2, "b"), Ask(3, "b", "127.0.0.1:1"), Nack(4),
+         Challenge(5), Opening([1] * 64),
          Answer([1], [record("c")]), Rest([record("c")])]
 
 
@@ -102,6 +110,23 @@
     assert Codec(KEY, "test").unpack(insane) is Refused.GARBAGE
 
 
+def test_what_is_out_of_bounds_is_garbage():
+    codec = Codec(KEY, "test")
+    for word in (leases.Prepare(-1, WHO, 2), budgets.Claim(1, 2, [budgets.Row("calls", -5, 4, 1, 3, 6, 1.5)]),
+                 budgets.Loan(1, "calls", 2, -1)):
+        assert codec.unpack(codec.pack(Envelope(1, 2, 3, record(), word))) is Refused.GARBAGE
+
+
+def test_words_of_budgets_do_nothing_where_nobody_divides(three):
+    one, other = three[:2]
+    with one.lock:
+        one._post([(other.view.me.address, budgets.Elsewhere(1, "x"))])
+        ready = one._ready(clock())
+    one._send(ready)
+    until(lambda: other.counters.read().get("fleet.refused.misplaced", 0) > 0)
+    assert len(other.view.living()) == 3
+
+
 def test_the_largest_datagram_fits(three):
     codec, longest = Codec(KEY, "c" * 64), "x" * 64
     big = record(longest, zone=longest, address="255.255.255.255:65535", boot=1 << 61, birth=1 << 61,
@@ -268,7 +293,8 @@
 instance = Instance(load(*sys.argv[1:]), setup("a", None))
 instance.start()
 print(*[m for m in sorted(sys.modules) if m.startswith(('hollystage.fleet', 'hollystage.store', 'hollystage.standins',
-      'hollystage.decisions.membership', 'hollystage.service.peers'))], threading.active_count())
+      'hollystage.decisions.membership', 'hollystage.decisions.leases', 'hollystage.decisions.budgets',
+      'hollystage.service.peers', 'hollystage.service.allotment'))], threading.active_count())
 import os; sys.stdout.flush(); os._exit(0)
 """
 
--- a/tests/test_plan.py
+++ b/tests/test_plan.py
@@ -19,7 +19,7 @@
 from hollystage.plan.compiled import Damaged, dump, parse, read_key
 from hollystage.plan.read import read, read_file
 from hollystage.plan.sections import SECTIONS, Instance, Section, register
-from hollystage.service.config import load
+from hollystage.service.config import budgeting, load
 from hollystage.service.config import parse as parse_config
 from hollystage.settings import Deployment, Faulty
 from hollystage.standins.server import free_address
@@ -293,3 +293,34 @@
         process.kill()
         for server in (interpreter, ledger, control, other):
             server.close()
+
+
+# What belongs to the whole fleet
+
+DIVIDED = PLAN + """fleet(instances = 8, bind = "127.0.0.1:7400", key = "k")
+leases(voters = ["n1", "n2", "n3"], length = 3s)
+budget("calls", whole = 24)
+"""
+
+
+def test_budgets_have_their_defaults_from_fleet_and_methods():
+    given = budgeting(parse_config(b"", plan_of(DIVIDED)))
+    (budget,) = given.budgets
+    assert (budget.most, budget.use, budget.floor, budget.kept, given.calls) == (8, 4_000_000, 1, 0.05, "calls")
+    assert (given.leases.voters, given.leases.length, given.leases.drift) == (["n1", "n2", "n3"], 3_000_000, 0.01)
+    assert budgeting(parse_config(b"", plan_of(PLAN))) is None
+
+
+@pytest.mark.parametrize("old, new, words", [
+    ("whole = 24", "whole = 7", "floors of 1 for 8 instances"),
+    ("whole = 24)", 'whole = 24)\nbudget("more", whole = 30)', 'beside "calls"'),
+    ('fleet(instances = 8, bind = "127.0.0.1:7400", key = "k")', "fleet(instances = 8)", "do not talk"),
+    ('leases(voters = ["n1", "n2", "n3"], length = 3s)', "", "nobody divides"),
+    ('["n1", "n2", "n3"]', '["n1", "n1"]', "one of them twice"),
+    ('"n3"], length', '"n3"], before = ["n1", "n2", "n4"], generation = 1, length', "more than one"),
+    ('"n3"], length', '"n3"], before = ["n1", "n2"], length', "generation"),
+    ("length = 3s", "length = 3s, drift = 30%", "drift")])
+def test_budgets_that_cannot_hold_are_refused(old, new, words):
+    result = read(Memory({"a.star": DIVIDED.replace(old, new).encode()}), "a.star")
+    assert any(words in str(fault) for fault in result.errors), [str(fault) for fault in result.errors]
+    assert not read(Memory({"a.star": DIVIDED.encode()}), "a.star").errors
