Budgets in the rig: thirteen scenes, the ledger as the judge, four faults to seed

Need: shown by real processes with faults between them. Change: scenes 'budgets' and twelve hard ones, the stand-in ledger tells the most it held since the last look, clients may favour one member; judged by sums.py.

--- a/hollystage/commands/lab.py
+++ b/hollystage/commands/lab.py
@@ -52,6 +52,7 @@
     from ..standins.fleet.draw import SCENES, drawn, fewest
     from ..standins.fleet.draw import scene as scene_of
     from ..standins.fleet.rig import Load
+    from ..standins.fleet.sums import budgets
 
     if broken and broken not in BREAKS:
         _end(f"--break: no fault is called {broken!r}; there are {', '.join(BREAKS)}")
@@ -68,7 +69,8 @@
         _end(f"the schedule's load cannot be used: {bad}")
 
     def judge(lines: list[Line]) -> list[Violation]:
-        return rules(lines, load, across_lives=True) + membership(lines) + comeback(lines)
+        return rules(lines, load, across_lives=True) + membership(lines) + comeback(lines) + budgets(
+            lines, load.whole)
 
     lines = play(plan, load, broken, keep)
     found = judge(lines)
@@ -95,12 +97,14 @@
     """Prints what came of it, and ends the command."""
     import msgspec
 
-    from ..standins.fleet import aftermath
+    from ..standins.fleet import aftermath, sums
     from ..standins.fleet.check import measured
 
     if report:
         _draw(lines, report)
     figures = measured(lines, plan.seconds) | {"comeback": aftermath.figures(lines, load.warm_up_s)}
+    if load.whole:
+        figures["budget"] = sums.figures(lines, load.whole)
     if json:
         typer.echo(msgspec.json.format(msgspec.json.encode(
             {"violations": found, "seed": plan.seed, "faults": plan.kinds(), "measured": figures})).decode())
--- a/hollystage/standins/fleet/breaks.py
+++ b/hollystage/standins/fleet/breaks.py
@@ -216,6 +216,44 @@
     _put(Pilot, "steer", steer)
 
 
+def _knows_nothing() -> None:
+    """A divider that begins takes nothing for given."""
+    from ...decisions.budgets.purse import Purse
+
+    _put(Purse, "unknown", lambda self, now: 0)
+
+
+def _asked_back_is_free() -> None:
+    """What is asked back counts as free before its holder has said so, and a part is charged no longer than asked."""
+    from ...decisions.budgets.purse import Purse
+
+    claimed = Purse.claimed
+
+    def hasty(self: Purse, who: Any, row: Any, turn: int, now: int) -> int | None:
+        part = claimed(self, who, row, turn, now)
+        if part is not None:
+            self._charge(self.accounts[who], min(self.accounts[who].given, row.using) // 2)
+        return part
+    _put(Purse, "claimed", hasty)
+
+
+def _keeps_its_part() -> None:
+    """A part does not end."""
+    from ...decisions.budgets.holding import EVER, Holding
+
+    def granted(self: Holding, part: int, asked_at: int) -> None:
+        self.part, self.ends = max(self.part, part), EVER - 1
+    _put(Holding, "granted", granted)
+
+
+def _bounds_unheard() -> None:
+    """The decision module is not told of its part."""
+    from ...service.allotment import Allotment
+
+    _put(Allotment, "bind", lambda self, control, now: EVER_)
+
+
+EVER_ = 1 << 62
 BREAKS: dict[str, Callable[[], None]] = {
     "no-doubt": _no_doubt, "doubt-pushes-back": _doubt_pushes_back, "one-lender": _one_lender,
     "any-age": _recovery("age", lambda written_ms, now_ms: 0.0),
@@ -226,6 +264,7 @@
     "no-refutation": _no_refutation, "older-boot": _older_boot, "accuse-asleep": _accuse_asleep,
     "never-ask-lost": _never_ask_lost, "babble": _babble, "boot-falls": _boot_falls,
     "forget-tokens": _forget_tokens, "push-back-what-ran": _push_back_what_ran, "swallow": _swallow,
-    "run-late": _run_late, "hear-late": _hear_late, "hoard": _hoard}
+    "knows-nothing": _knows_nothing, "asked-back-is-free": _asked_back_is_free, "keeps-its-part": _keeps_its_part,
+    "bounds-unheard": _bounds_unheard, "run-late": _run_late, "hear-late": _hear_late, "hoard": _hoard}
 
 
--- a/hollystage/standins/fleet/draw.py
+++ b/hollystage/standins/fleet/draw.py
@@ -85,6 +85,8 @@
     if name in HARD:
         heedless = {"heeds": False, "tries": 1000} if name == "no limit to tries" else {}
         return Schedule(members, 24, seed, hard(name, names)[0], load=HARD_LOAD | heedless)
+    if name in SHARED:
+        return shared(name, names, seed)
     quarter, most, half = names[3:3 + max(1, members // 4)], names[:members * 3 // 4], names[:members // 2]
     rest = [name for name in names if name not in half]
     lossy = Fault(0, "lose", names, names, amount=0.3)
@@ -144,6 +146,47 @@
     return cases[case]
 
 
+def shared(case: str, names: list[str], seed: int) -> Schedule:
+    """A budget of calls under one trouble: `load` has the need of one member at half of all, and little to spare."""
+    first, voters, many = names[0], names[:3], len(names) * 3 // 4
+    half, rest = names[::2], names[1::2]
+
+    def favour(at: float, name: str) -> Fault:
+        return Fault(at, "call", ["clients"], how=f'{{"do": "favour", "name": "{name}", "share": 0.5}}')
+    begin = favour(0, names[-1])
+    one_by_one = list(zip((1.0, 4.0, 7.0), voters, strict=False))  # the divider is among them
+    cases: dict[str, list[Fault]] = {
+        "budgets": [],
+        "budgets, need jumps": [favour(1.0 + n, name) for n, name in enumerate((names * 12)[:11])],
+        "budgets, nine killed": [Fault(2, "kill", names[:many]), Fault(7, "start", names[:many])],
+        "budgets, six replaced": [f for n, name in enumerate(names[:len(names) * 6 // 10]) for f in (
+            Fault(1 + n, "term", [name]), Fault(3 + n, "start", [name]))],
+        "budgets, cut in two": [Fault(1, "cut", half, rest, both=True), Fault(9, "heal", half, rest, both=True)],
+        "budgets, divider killed": [f for at, name in one_by_one for f in (
+            Fault(at, "kill", [name]), Fault(at + 1.5, "start", [name], how="emptied"))],
+        "budgets, divider paused": [Fault(at, "pause", [name], amount=2.5) for at, name in one_by_one],
+        "budgets, lossy": [Fault(0, word, names, names, amount=0.3) for word in ("lose", "double", "reorder")],
+        "budgets, one way": [Fault(1, "cut", [first], names[1:]), Fault(6, "cut", names[2:], names[1:2])],
+        "budgets, clocks apart": [Fault(0, "clock", [name], amount=0.99 if n % 2 else 1.01)
+                                  for n, name in enumerate(names)],
+        "budgets, all paused in turn": [Fault(0.5 + n, "pause", [name], amount=2.0) for n, name in enumerate(names)],
+        "budgets, fewer units than members": [Fault(3, "kill", names[2:4]), Fault(6, "start", names[2:4])],
+        "budgets, state lost": [Fault(2, "kill", names), Fault(2.5, "start", names, how="emptied")],
+    }
+    load = SHARED_LOAD | ({"whole": max(2, len(names) // 2), "floor": 0} if "fewer" in case else
+                          {"whole": 2 * len(names) + 8})
+    return Schedule(len(names), 13, seed, [begin, *cases[case]], load=load)
+
+
+SHARED = ("budgets", "budgets, need jumps", "budgets, nine killed", "budgets, six replaced", "budgets, cut in two",
+          "budgets, divider killed", "budgets, divider paused", "budgets, lossy", "budgets, one way",
+          "budgets, clocks apart", "budgets, all paused in turn", "budgets, fewer units than members",
+          "budgets, state lost")
+
+SHARED_LOAD: dict[str, Any] = {  # calls of 120 ms: what is asked for is a little more than the whole
+    "ledger_slots": 500, "ledger_mean_ms": 120.0, "linger_ms": 1000, "calls_out": 500.0, "rate": 300.0,
+    "clients": 200, "work_s": 0.01, "warm_up_s": 4.0}
+
 HARD = ("nine at once", "all at once", "one after another", "into a slow ledger", "cut in two", "state lost",
         "state lost by half", "state an hour old", "clocks back a day", "clocks on a day", "a crash loop",
         "killed in the ramp", "a zone is slow", "no limit to tries", "another plan", "a survivor paused",
@@ -154,7 +197,8 @@
     "ledger_slots": 18, "ledger_mean_ms": 60.0, "calls_out": 18.0, "hold_deadline_ms": 5000}
 
 SCENES = ("calm", "three killed", "three killed, lossy", "nine restarted", "nine restarted, state lost",
-          "half and half", "one way", "paused", "many paused", "flapping", "named down", "resets", "drained", *HARD)
+          "half and half", "one way", "paused", "many paused", "flapping", "named down", "resets", "drained",
+          *HARD, *SHARED)
 
 
 def fewest(faults: list[Fault], fails: Callable[[list[Fault]], bool], most: int = 40) -> list[Fault]:
--- a/hollystage/standins/fleet/party.py
+++ b/hollystage/standins/fleet/party.py
@@ -91,8 +91,9 @@
             time.sleep(0.1)
             for name, zone in zones.items():
                 model = zone.model
-                history.write("load", name, held=len(model.work), deaths=model.judge.deaths,
-                              refused=model.judge.refused)
+                peak, model.judge.most = model.judge.most, 0  # since the last look
+                history.write("load", name, held=len(model.work), peak=max(peak, len(model.work)),
+                              deaths=model.judge.deaths, refused=model.judge.refused)
     threading.Thread(target=watch, daemon=True).start()
     return {"slow": lambda factor, names=(): ordered(lambda model: model.slow(factor), names),
             "die": lambda seconds, names=(): ordered(lambda model: model.die(int(seconds * SECOND)), names),
@@ -127,6 +128,7 @@
         self.listed: list[str] = sorted(spec["addresses"])
         self.stopped = threading.Event()
         self.rate = 1.0
+        self.favoured, self.favour = "", 0.0  # who gets that share of first tries
         self.lock = threading.Lock()
         self.count = 0
 
@@ -164,6 +166,8 @@
             key = f"{self.history.party}-{self.count}"
         begun, listed = time.monotonic(), list(self.listed)
         at, tries, bound_to = chance.randrange(len(listed)), 0, ""
+        if self.favoured in listed and chance.random() < self.favour:
+            at = listed.index(self.favoured)
         tokened, word, came, refusals = method["tokened"], "given up", False, 0
         while tries - refusals < self.spec["tries"]:
             left = method["deadline_s"] - (time.monotonic() - begun)
@@ -267,7 +271,10 @@
 
     def rate(factor: float) -> None:
         stubs.rate = factor
-    return {"start": stubs.start, "stop": stop, "rate": rate}
+
+    def favour(name: str, share: float) -> None:
+        stubs.favoured, stubs.favour = name, share
+    return {"start": stubs.start, "stop": stop, "rate": rate, "favour": favour}
 
 
 KINDS: dict[str, Callable[[dict[str, Any], History], Orders]] = {
--- a/hollystage/standins/fleet/rig.py
+++ b/hollystage/standins/fleet/rig.py
@@ -56,6 +56,11 @@
     warm_up_s: float = 2.0  # of traffic before the schedule
     settle_s: float = 40.0  # for all to agree after the last fault
     hold_deadline_ms: int = 2100
+    linger_ms: int = 200
+    whole: int = 0  # of a budget of calls at the ledger, divided among the members; 0: none
+    floor: int = 1
+    voters: int = 3
+    lease_ms: int = 1500
     extra: str = ""  # more of each member's plan
 
 METHODS: list[dict[str, Any]] = [
@@ -68,7 +73,7 @@
 {ledgers}
 process(memory = {memory}MiB, sockets = 512)
 machine(cores = {cores}, memory = 12MiB, run_factor = 8, key = 6KiB, halt = "abort", say = "none",
-        calls_out = {calls}, linger = 200ms, gauges = ["cores", "crowd"], idle = 30s, cold = {cold})
+        calls_out = {calls}, linger = {linger}ms, gauges = ["cores", "crowd"], idle = 30s, cold = {cold})
 rules(fall_multiple = 5, drain_grace = {grace}ms, cold_from = {cold_from}%, warm_after = {warm}ms)
 refusals(retry_after = True, longest = 1s, promises = True)
 method("rate-lookup", kind = "idempotent", target = 1s, deadline = 2s, criticality = 1, skip_share = 30%)
@@ -76,8 +81,11 @@
 fleet(instances = {members}, bind = "{bind}", advertise = "{face}", peers = {peers}, zone = "{zone}", key = "{key}",
       period = {period}ms)
 state("{state}")
+{budget}
 {extra}
 """
+BUDGET = """leases(voters = {voters}, length = {lease}ms)
+budget("calls", whole = {whole}, floor = {floor}, use = 1500ms)"""
 
 
 def free_net() -> tuple[str, str, socket.socket]:
@@ -149,7 +157,10 @@
         n, at, load = self.host[name], self.names.index(name), self.load
         ledgers = "\n".join(f'ledger("{ledger}", "{self.face(210 + k, 20000 + at)}")'
                             for k, ledger in enumerate(self.ledgers))
+        budget = BUDGET.format(voters=json.dumps(self.names[:load.voters]), lease=load.lease_ms, whole=load.whole,
+                               floor=load.floor) if load.whole else ""
         return PLAN.format(
+            linger=load.linger_ms, budget=budget,
             name=name, seed=f"{self.schedule.seed * 1000 + at + 97 * self.starts[name]:x}", stop=load.stop_ms,
             listen=self.real(n, SERVE), vm=self.face(n, VM), control=self.face(230, 20000 + at), ledgers=ledgers,
             memory=load.memory_mb, cores=load.cores * (2 if name in self.replanned else 1), cold=load.cold < 1,
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -11,7 +11,7 @@
 from hollystage.cli import app
 from hollystage.decisions.membership.members import Members
 from hollystage.standins.fleet import check
-from hollystage.standins.fleet.draw import SCENES, drawn, scene
+from hollystage.standins.fleet.draw import SCENES, SHARED_LOAD, drawn, scene
 from hollystage.standins.fleet.faults import Fault, Net, Schedule
 from hollystage.standins.fleet.rig import Load
 from hollystage.standins.fleet.twin import Twin
@@ -40,7 +40,18 @@
 ASLEEP = Schedule(5, 8.0, 771203, [Fault(0.66, "pause", ["m4"], amount=2.88), Fault(2.44, "term", ["m4"]),
                                    Fault(1.41, "reorder", ["m4"], both=True, amount=0.3),
                                    Fault(7.23, "start", ["m4"])])
-CASES = {"asleep": (ASLEEP, ""), "hear-late": (ASLEEP, "hear-late"), "mixed": (MIXED, ""),
+# the voters die or sleep one after the other, the divider among them; half is cut off; need sits at one member
+SHARES = Schedule(5, 10.0, 8, [
+    Fault(0, "call", ["clients"], how='{"do": "favour", "name": "m4", "share": 0.5}'),
+    Fault(0, "lose", ["all"], amount=0.1), Fault(0, "double", ["all"], amount=0.2),
+    Fault(0.5, "kill", ["m0"]), Fault(1.5, "start", ["m0"], how="emptied"), Fault(2.5, "pause", ["m1"], amount=2.2),
+    Fault(4.5, "kill", ["m2"]), Fault(5.5, "start", ["m2"]),
+    Fault(6.5, "cut", ["m0", "m3"], ["m1", "m2", "m4"], True),
+    Fault(8.5, "heal", ["m0", "m3"], ["m1", "m2", "m4"], True), Fault(7.0, "clock", ["m4"], amount=1.01)],
+    load=SHARED_LOAD | {"whole": 14, "rate": 200.0, "clients": 120, "lease_ms": 1000, "warm_up_s": 3.0})
+CASES = {"budgets": (SHARES, ""), "bounds-unheard": (SHARES, "bounds-unheard"),
+         "asleep": (ASLEEP, ""), "hear-late": (ASLEEP, "hear-late"),
+         "mixed": (MIXED, ""),
          "split": (SPLIT, ""), "never-ask-lost": (SPLIT, "never-ask-lost"),
          "forget-tokens": (RESETS, "forget-tokens"), "resets": (RESETS, ""),
          "back": (BACK, ""), "from-the-future": (BACK, "from-the-future"),
@@ -53,8 +64,9 @@
     plan, broken = CASES[name]
     path = folder / f"{name}.json"
     path.write_bytes(msgspec.json.encode(plan))
-    command = [sys.executable, "-m", "hollystage", "lab", "fleet", "--schedule", str(path), "--json", "--rate", "60",
+    command = [sys.executable, "-m", "hollystage", "lab", "fleet", "--schedule", str(path), "--json",
                "--period", "150", "--settle", "15", "--keep", str(folder / name)]
+    command += ["--rate", "60"] if "rate" not in plan.load else []
     command += ["--break", broken] if broken else []
     done = subprocess.run(command, capture_output=True, text=True, timeout=RUN_S, env=os.environ | {
         "TMPDIR": str(folder)})
@@ -69,7 +81,7 @@
         return dict(zip(CASES, pool.map(lambda name: play(folder, name), CASES), strict=True))
 
 
-@pytest.mark.parametrize("name", ["mixed", "split", "resets", "back", "doubt", "asleep"])
+@pytest.mark.parametrize("name", ["mixed", "split", "resets", "back", "doubt", "asleep", "budgets"])
 def test_a_fleet_under_faults_keeps_the_rules_and_agrees_in_the_end(played, name):
     code, found = played[name]
     assert found["violations"] == [] and code == 0
@@ -79,7 +91,9 @@
 
 
 @pytest.mark.parametrize("name, rule", [("never-ask-lost", "views agree"), ("forget-tokens", "2 no effect twice"),
-                                        ("hear-late", "3 safe drain"), ("from-the-future", "no stale belief")])
+                                        ("hear-late", "3 safe drain"),
+                                        ("bounds-unheard", "never more than the whole"),
+                                        ("from-the-future", "no stale belief")])
 def test_a_seeded_fault_is_caught_in_real_processes(played, name, rule):
     code, found = played[name]
     assert code == 1 and rule in {violation["rule"] for violation in found["violations"]}
