--- a/hollystage/commands/lab.py
+++ b/hollystage/commands/lab.py
@@ -48,11 +48,11 @@
 
     from ..standins.fleet.aftermath import comeback
     from ..standins.fleet.breaks import BREAKS
-    from ..standins.fleet.check import membership, rules
+    from ..standins.fleet.check import CHATTER, membership, rules
     from ..standins.fleet.draw import SCENES, drawn, fewest
     from ..standins.fleet.draw import scene as scene_of
     from ..standins.fleet.rig import Load
-    from ..standins.fleet.sums import budgets
+    from ..standins.fleet.sums import budgets, chatter
 
     if broken and broken not in BREAKS:
         _end(f"--break: no fault is called {broken!r}; there are {', '.join(BREAKS)}")
@@ -69,7 +69,8 @@
         _end(f"the schedule's load cannot be used: {bad}")
 
     def judge(lines: list[Line]) -> list[Violation]:
-        return rules(lines, load, across_lives=True) + membership(lines) + comeback(lines) + budgets(
+        return rules(lines, load, across_lives=True) + membership(
+            lines, CHATTER + chatter(load, plan.members)) + comeback(lines) + budgets(
             lines, load.whole)
 
     lines = play(plan, load, broken, keep)
--- a/hollystage/decisions/budgets/division.py
+++ b/hollystage/decisions/budgets/division.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 SHOWN, FIRST = 2, 2  # times what it used that a process may need; units that need no showing
-STILL = 0.1  # share by which a need may waver while it counts as still
+STILL = 0.1  # share by which a need may fall while it counts as still
 FADES = 0.7  # of a need that falls is kept a question: a lull gives no units away at once
 
 
@@ -65,10 +65,10 @@
 
     >>> believed(100, 0, 0, 0), believed(100, 4, 8, 0), believed(100, 40, 8, 0)
     (2, 10, 18)
-    >>> believed(11, 9, 12, 10), believed(3, 3, 12, 10)
-    (10, 7)
+    >>> believed(11, 9, 12, 10), believed(9, 9, 12, 10), believed(3, 3, 12, 10)
+    (11, 10, 7)
     """
     need = min(said, SHOWN * min(used, max(given, FIRST)) + FIRST)
-    if abs(need - before) <= max(1, STILL * before) and before <= said:
-        return before
-    return max(need, int(FADES * before)) if need < before else need
+    if need >= before:
+        return need
+    return before if before - need <= STILL * before else max(need, int(FADES * before))
--- a/hollystage/standins/fleet/sums.py
+++ b/hollystage/standins/fleet/sums.py
@@ -5,8 +5,10 @@
 from collections.abc import Iterable
 from typing import Any
 
+from ...service.peers import PERIODS
 from .check import SECOND, Violation
 from .history import Line
+from .rig import Load
 
 
 def budgets(lines: list[Line], whole: int) -> list[Violation]:
@@ -14,6 +16,11 @@
     return list(_over(lines, whole)) if whole else []
 
 
+def chatter(load: Load, members: int) -> float:
+    """Datagrams a second that whoever divides may say beside the usual: an answer and a half to each question."""
+    return 1.5 * members * PERIODS / (load.lease_ms / 1000) if load.whole else 0.0
+
+
 def _over(lines: list[Line], whole: int) -> Iterable[Violation]:
     for line in lines:
         if line["what"] == "load" and line["peak"] > whole:
