A clamp that could not act and a constant behind its use taken out

Need: one more read of the change. What is used is a count and never below nothing; the rig's seeded fault named a constant defined after it.

--- a/hollystage/decisions/budgets/holding.py
+++ b/hollystage/decisions/budgets/holding.py
@@ -68,7 +68,7 @@
     def lend(self, units: int, now: int) -> tuple[int, int]:
         """Sets up to `units` aside; what was lent, and for how long by our clock. The loan may be told only once
         `adopted` shows that nobody goes by more than is left."""
-        idle = self.usable(now) - max(self.using, 0) - self.borrows(now)
+        idle = self.usable(now) - self.using - self.borrows(now)
         units = min(units, idle - idle // 2)
         if units <= 0 or self.barred:
             return 0, 0
--- a/hollystage/standins/fleet/breaks.py
+++ b/hollystage/standins/fleet/breaks.py
@@ -250,10 +250,9 @@
     """The decision module is not told of its part."""
     from ...service.allotment import Allotment
 
-    _put(Allotment, "bind", lambda self, control, now: EVER_)
+    _put(Allotment, "bind", lambda self, control, now: 1 << 62)
 
 
-EVER_ = 1 << 62
 BREAKS: dict[str, Callable[[], None]] = {
     "no-doubt": _no_doubt, "doubt-pushes-back": _doubt_pushes_back, "one-lender": _one_lender,
     "any-age": _recovery("age", lambda written_ms, now_ms: 0.0),
