Fractions of a call are carried over, and no process has a first call free

Cause: the limit on calls below was rounded up (ceil in Control._pump) and the first call was free, so that the sum of all processes passed the whole. Simulated with every process under more RPCs than its calls allow: 20 processes with a share of 1.2 held 40.0 in the mean of 5 s where 24 is the whole (35.8 with chance), 100 with 2.33 held 300 of 233, 20 with 0.1 began 20 calls in one moment where 6.8 is allowed. Ruled out: growth of the window (it stays at nine tenths).

Change: decisions/calls/pacing.py carries the fraction as a debt, begins with a debt drawn from the seed, and bounds one call to the limit's part of the span that is averaged where the limit is below one. The criticality of 0 no longer divides by zero in _plan (found by a fuzz of the settings: each tick failed). Figures of settings past 1e15 are refused with their key.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 from heapq import heappop, heappush
-from math import ceil
 
 from .decisions.calls.limits import Ended
 from .decisions.calls.pools import NOWHERE, Pools
@@ -30,6 +29,8 @@
         # timers of instances that start together are spread: one step of a congruential generator, high bits
         chance = (seed * 6364136223846793005 + 1442695040888963407 & (1 << 64) - 1) >> 33
         self.out.append(Action(Do.TIMER, span=1 + (chance * TICK >> 31)))
+        # their first calls below too, by what one is taken to last before any was made
+        self.pacer.debt = float(chance * (self.shortest // 2) >> 31)
 
     # What the adapter tells
 
@@ -101,9 +102,6 @@
         self.below.ended(end)
         if self.pools is not None:
             self.pools.called(rpc, end)
-        # where even one call at a time is more than the window: rest so long that the mean keeps to it
-        window = self.below.value
-        self.next_call = now + int(spent * (1 / window - 1)) if window < 1 else now
         self._resume(rpc, outcome)
 
     def gone(self, rpc: Rpc, now: int) -> None:
@@ -220,9 +218,8 @@
             needs.append((client, 2 * rate * cost + 0.01, worth / cost, cost))
         given = dict.fromkeys(self.clients.values(), 0.0)
         room = self.lim
-        while needs and room > 1e-3:
-            # water-filling: close to an order where criticality differs much, an even share where hardly
-            total = sum(need * density ** 2 for _, need, density, _ in needs)
+        # water-filling: near an order where criticality differs much, an even share where hardly, none for none
+        while room > 1e-3 and (total := sum(need * density ** 2 for _, need, density, _ in needs)) > 0:
             part = min(room / total, 1 / max(density for _, _, density, _ in needs) ** 2)
             for client, need, density, cost in needs:
                 given[client] += need * part * density ** 2 / cost
@@ -275,7 +272,7 @@
         while self.lingering and self.lingering[0] <= self.now:
             heappop(self.lingering)
         later: list[Rpc] = []
-        most = ceil(max(self.below.value, 1))
+        most = self.pacer.allowed(self.below.value, self.now)
         while self.now >= self.next_call and (
                 line := self._next(self.waits, WAITING, most, self.places[CALLING] + len(self.lingering))):
             rpc = heappop(line)[2]
@@ -289,6 +286,7 @@
                 self._resume(rpc, SKIP)
             else:
                 self._queue(self.waits, rpc)
+        self.pacer.open = self.places[CALLING] + len(self.lingering)
         while not self.stuck and (line := self._next(self.holds, HELD, self._limit(), self.places[RUNNING])):
             rpc = line[0][2]
             begun = self.places[RUNNING] + self.places[CALLING] + self.places[WAITING]
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -136,6 +136,7 @@
     halt: Halt = Halt.NONE
     say: Say = Say.NONE
     calls_out: float = 0.0
+    calls_over: int = 5_000_000  # the span over which what is below averages the calls it holds
     linger: int = 0
     gauges: list[str] = field(default_factory=list)
     longest_advice: int = 0
--- a/hollystage/policy/lines.py
+++ b/hollystage/policy/lines.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from ..decisions.calls.limits import limit_of
+from ..decisions.calls.pacing import Pacer
 from ..decisions.calls.pools import CALLS, CORES, NOWHERE, OUT, WAITS, Pools
 from ..decisions.comeback.calendar import Calendar
 from ..decisions.stalls import Stalls
@@ -56,6 +57,7 @@
         self.offs = {m: Decaying(now) for m in settings.methods}
         self.pace = Decaying(now)  # time on the cores over the hints of the RPCs that took it
         self.lingering: list[int] = []
+        self.pacer = Pacer(now, 0.0, settings.calls_over)
 
     def _move(self, rpc: Rpc, place: str) -> None:
         if rpc.place in (WAITING, CALLING):
--- a/hollystage/policy/lives.py
+++ b/hollystage/policy/lives.py
@@ -84,7 +84,7 @@
             soon = rpc.target - self.now - half > SLOW * self.usual_call
             span = (rpc.target if soon else rpc.due) - self.now - half
             brief = int(SILENT * self.usual_call) if free and self._seldom() else 0
-            word = yield Action(Do.CALL, rpc, max(TICK, min(span, brief or span)))
+            word = yield Action(Do.CALL, rpc, max(TICK, min(span, brief or span, self.pacer.longest)))
             if word is Outcome.OK:
                 self._move(rpc, RUNNING)
                 return (yield None)
--- a/hollystage/settings.py
+++ b/hollystage/settings.py
@@ -14,8 +14,9 @@
 KINDS = {"repeatable": Kind.IDEMPOTENT, "by_key": Kind.TOKENED, "once": Kind.NON_IDEMPOTENT}
 GAUGES = {"cpu_busy": "cores", "runnable": "crowd", "mem_used": "memory", "sockets": "connections"}
 
-Amount = Annotated[float, msgspec.Meta(ge=0)]
-Positive = Annotated[float, msgspec.Meta(gt=0)]
+MOST = 1e15  # of any figure: thirty years in microseconds; beyond it sums and squares would overflow
+Amount = Annotated[float, msgspec.Meta(ge=0, le=MOST)]
+Positive = Annotated[float, msgspec.Meta(gt=0, le=MOST)]
 
 
 class Faulty(ValueError):
@@ -36,7 +37,7 @@
 
 
 class Domain(Part):
-    cores: Annotated[float, msgspec.Meta(ge=1)]
+    cores: Annotated[float, msgspec.Meta(ge=1, le=MOST)]
     ram_kb: Positive
     run_factor: Positive
     key_kb: Amount = 0
@@ -45,6 +46,7 @@
     halt: Halt = Halt.NONE
     say: Say = Say.NONE
     calls_out: Amount = 0
+    dep_window_us: Positive = 5_000_000
     depends_on: Literal["shared", "tier", "none"] = "shared"
     stays_for_us: Amount = 0
     gauges: list[str] = []
@@ -81,7 +83,7 @@
     profiles: Annotated[list[Profile], msgspec.Meta(min_length=1)]
     limits: Bounds = msgspec.field(default_factory=Bounds)
     tenants: list[Quota] | None = None
-    peers_total: Annotated[float, msgspec.Meta(ge=1)] = 1
+    peers_total: Annotated[float, msgspec.Meta(ge=1, le=MOST)] = 1
     over_share_worth: Amount = 1
     worth_by: Literal["request", "work"] = "request"
 
@@ -94,7 +96,7 @@
     """
     try:
         return msgspec.json.decode(text, type=Deployment)
-    except msgspec.DecodeError as bad:
+    except (msgspec.DecodeError, RecursionError) as bad:
         raise Faulty(f"settings cannot be read: {bad}") from bad
 
 
@@ -112,7 +114,7 @@
         peers=int(raw.peers_total), over_share=raw.over_share_worth, cold=facts.cold,
         cold_from=rules.cold_from, warm_after=int(rules.warm_after_us), fall_multiple=rules.fall_multiple,
         drain_grace=int(rules.stop_sending_within_us), halt=facts.halt, say=facts.say,
-        calls_out=facts.calls_out, linger=int(facts.stays_for_us),
+        calls_out=facts.calls_out, calls_over=int(facts.dep_window_us), linger=int(facts.stays_for_us),
         gauges=[GAUGES.get(name, name) for name in facts.gauges],
         longest_advice=int(raw.limits.max_retry_after_us) if raw.limits.retry_after else 0,
         longest_idle=int(facts.idle_us), by_work=raw.worth_by == "work", tier_below=facts.depends_on == "tier")
