--- a/hollystage/service/buffers.py
+++ b/hollystage/service/buffers.py
@@ -77,6 +77,10 @@
     def empty(self) -> bool:
         return self.start == self.end
 
+    def drop(self) -> None:
+        """Forgets what was received and not used."""
+        self.start = self.end = 0
+
     def upto(self, mark: bytes, limit: int, until: float | None) -> bytes:
         """All up to the mark and with it, of no more than `limit` bytes."""
         at = self.start
@@ -94,7 +98,7 @@
     def past(self, mark: bytes, until: float) -> None:
         """Drops all up to the mark and with it, however much that is."""
         while (found := self.buffer.find(mark, self.start, self.end)) < 0:
-            self.start = self.end = 0
+            self.drop()
             if not self.more(until):
                 raise Broken
         self.start = found + len(mark)
--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -18,7 +18,7 @@
 from .counters import Counters
 from .driver import Driver, clock
 from .exchange import Ended, Exchange, Gone, Word
-from .http import Bad, Request, read_request, rpc_fields, write_response
+from .http import Bad, Request, plain, read_request, rpc_fields, write_response
 from .interpreter import Link
 from .ledger import Ledger
 
@@ -32,7 +32,11 @@
 OVERDUE_S = 1.0  # past an RPC's due time: the module must have answered long before
 TAKEN_S = 2.0
 LINGER_S = 0.5  # for the other side to close after its last answer
+CROSSING_S, CROSSING_STEP_S = 0.5, 0.01  # for the rest of a message that crosses our closing; between two looks
+RESERVED = 12  # descriptors that neither clients nor calls may take: the listener, the link, reports, files
+SPENT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # an accept that fails for want of room
 SWEEP_S, AGAIN_S = 0.1, 0.01
+HANDED_OVER_S = 0.5  # for the accepting thread to end once the listener is closed
 BACKLOG = 512
 ATTACH_FILTER = 26  # Linux; Python has no name for it
 
@@ -45,10 +49,43 @@
         self.begun = self.idle_since = time.monotonic()  # the latter 0 while a message is read or answered
         self.proven = False  # a whole message was read on it
         self.hung_up = False  # by us: what crosses that is answered all the same
+        self.resting = False  # it was idle when we hung up: a message that was on its way may still come whole
         self.closed = False  # by the caller
         self.exchange: Exchange | None = None
 
 
+class CallerStream(Stream):
+    """Reads on where we hung up while a message was on its way.
+
+    Once the reading side is shut, a receipt no longer waits; what the other side sends arrives all the same.
+    """
+
+    def __init__(self, connection: Connection, buffer: bytearray) -> None:
+        super().__init__(connection.sock, buffer)
+        self.connection = connection
+
+    def more(self, until: float | None) -> bool:
+        if super().more(until):
+            return True
+        if self.empty() or not self.connection.resting:
+            return False
+        latest = time.monotonic() + CROSSING_S
+        while time.monotonic() < (latest if until is None else min(latest, until)):
+            time.sleep(CROSSING_STEP_S)
+            if super().more(until):
+                return True
+        return False
+
+
+def most_clients(sockets: int, calls: int) -> int:
+    """How many connections clients may have of the process's descriptors, `calls` of which are for calls below.
+
+    >>> most_clients(1024, 128), most_clients(32, 4)
+    (704, 16)
+    """
+    return min(sockets * 11 // 16, sockets - calls - RESERVED)
+
+
 class Clients:
     """Owns the listener and every connection taken from it."""
 
@@ -61,10 +98,12 @@
         self.connections: dict[int, Connection] = {}
         self.most, self.room = most, threading.Semaphore(most)
         self.closing = self.stopped = False
+        self.acceptor: threading.Thread | None = None  # may hold a connection that is not in the table yet
         self.epoll = select.epoll()
         self.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._bind(address)
+        self.listener.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # what is accepted inherits it
         self.listener.listen(BACKLOG)
 
     def _bind(self, address: Address) -> None:
@@ -80,6 +119,7 @@
                 time.sleep(SWEEP_S)
 
     def accept_forever(self) -> None:
+        self.acceptor = threading.current_thread()
         while not self.closing:
             if not self.room.acquire(blocking=False):
                 self._make_room()
@@ -89,46 +129,56 @@
                 sock, _ = self.listener.accept()
             except OSError as bad:
                 self.room.release()
-                if not self.closing:  # no descriptor, most likely
-                    self.counters.add("clients.not_accepted")
-                    self.log.warning("no connection could be accepted", why=str(bad))
-                    self._make_room()
-                    time.sleep(AGAIN_S)
+                if not self.closing:
+                    self._not_accepted(bad)
                 continue
             self._begin(sock)
 
+    def _not_accepted(self, bad: OSError) -> None:
+        self.counters.add("clients.not_accepted")
+        if bad.errno in SPENT:
+            self.log.warning("no connection could be accepted", why=str(bad))
+            self._make_room()
+            time.sleep(AGAIN_S)
+
     def _begin(self, sock: socket.socket) -> None:
+        """Gives the connection to a thread of its own, which ends it."""
         connection = Connection(sock)
         with self.lock:
             self.connections[sock.fileno()] = connection
         self.counters.add("clients.connections")
         try:
             threading.Thread(target=self._connection, args=(connection,), daemon=True).start()
-        except RuntimeError as bad:  # no thread is to be had
+        except (RuntimeError, MemoryError) as bad:  # no thread is to be had
             self.log.error("no thread for a connection", why=str(bad))
             self._end(connection)
 
     def _end(self, connection: Connection) -> None:
+        """The one place where a connection is closed and its place in the table given back."""
         with self.lock:
             self.connections.pop(connection.sock.fileno(), None)
             connection.sock.close()
         self.room.release()
 
     def _make_room(self) -> None:
-        """Where all that may be open are: closes the oldest that never said anything whole, else the one idle
-        longest. What has just connected is spared: its RPC is most likely on the way. Where much has just
-        connected nothing is closed: a flood would else push out those that are known."""
+        """Where all that may be open are: closes the oldest that never said anything, else the one idle longest,
+        else the oldest in the middle of its first message. What has just connected is spared: its RPC is most
+        likely on the way. Where much has just connected no known one is closed: a flood would else push out all
+        of them."""
         with self.lock:
             new = [c for c in self.connections.values() if not c.proven and not c.hung_up]
             old = [c for c in new if time.monotonic() - c.begun > SETTLE_S]
-            if not old and len(new) < FLOOD * self.most:
-                old = [c for c in self.connections.values() if c.proven and c.idle_since]
-            if old:
-                self._hang_up(min(old, key=lambda connection: connection.idle_since))
+            silent = [c for c in old if c.idle_since]
+            if not silent and len(new) < FLOOD * self.most:
+                silent = [c for c in self.connections.values() if c.proven and c.idle_since]
+            if silent:
+                self._hang_up(min(silent, key=lambda connection: connection.idle_since))
+            elif old:
+                self._hang_up(min(old, key=lambda connection: connection.begun))
 
     def _hang_up(self, connection: Connection) -> None:
         # reading side only: an RPC that crosses this close is read all the same, and answered
-        connection.hung_up, connection.idle_since = True, 0.0
+        connection.hung_up, connection.resting, connection.idle_since = True, connection.idle_since > 0, 0.0
         with contextlib.suppress(OSError):
             connection.sock.shutdown(socket.SHUT_RD)
 
@@ -147,11 +197,27 @@
                                      struct.pack("HP", 1, ctypes.addressof(drop)))
         with contextlib.suppress(OSError):
             self.listener.setblocking(False)
-            while True:
-                self._begin(self.listener.accept()[0])
+            self._accept_waiting(time.monotonic() + TAKEN_S)
         with contextlib.suppress(OSError):
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
+        if self.acceptor is not None:
+            # guards a connection that was taken and is not in the table yet: whoever drains counts the table
+            self.acceptor.join(HANDED_OVER_S)
+
+    def _accept_waiting(self, until: float) -> None:
+        """Takes what waits to be accepted; idle connections end meanwhile, so that descriptors come free.
+
+        Raises:
+            OSError: nothing waits any more, or there is no room for it in time.
+        """
+        while True:
+            try:
+                self._begin(self.listener.accept()[0])
+            except OSError as bad:
+                if bad.errno not in SPENT or time.monotonic() > until:
+                    raise
+                time.sleep(AGAIN_S)
 
     def stop(self) -> None:
         """Ends every connection, whatever is open on it."""
@@ -191,12 +257,16 @@
     # One connection
 
     def _connection(self, connection: Connection) -> None:
-        sock, buffer = connection.sock, self.pool.take()
+        try:
+            buffer = self.pool.take()
+        except MemoryError:
+            return self._end(connection)
+        sock = connection.sock
         try:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             bound(sock, socket.SO_SNDTIMEO, TAKE_S)
             self.epoll.register(sock.fileno(), select.EPOLLRDHUP | select.EPOLLET)  # until its close
-            stream = Stream(sock, buffer)
+            stream = CallerStream(connection, buffer)
             until: float | None = connection.begun + FIRST_S
             while stream.more(until) if stream.empty() else True:
                 connection.idle_since = 0.0
@@ -208,6 +278,9 @@
             self.counters.add("clients.silent")
         except OSError:
             self.counters.add("clients.broken")
+        except Exception:
+            self.counters.add("clients.crashed")
+            self.log.exception("a connection's thread failed")
         finally:
             self.pool.give_back(buffer)
             self._end(connection)
@@ -216,8 +289,9 @@
         """Guards the last answer against the reset that a close with unread input sends."""
         connection.sock.shutdown(socket.SHUT_WR)
         until = time.monotonic() + LINGER_S
+        stream.drop()
         while stream.more(until):
-            stream.start = stream.end = 0
+            stream.drop()
 
     def _message(self, connection: Connection, stream: Stream, until: float) -> bool:
         """Reads and answers one message; whether the connection stays open."""
@@ -264,6 +338,7 @@
                 raise Bad(405, "health checks are asked by GET")
             return self._health("deep=1" in request.query.split("&"))
         prefix, _, name = request.path.rpartition("/")
+        name = plain(name)
         if prefix != "/svc" or name not in self.methods:
             raise Bad(404, "an unknown path or method")
         if request.verb != "POST":
@@ -316,6 +391,7 @@
                         return 500, {}, b""
                     case Do.START:
                         self.link.apply(exchange.ident, name, request.body)
+                        exchange.applied = True
                     case Do.CALL:
                         self._call(exchange, word.span)
                     case Do.SKIP:
--- a/hollystage/service/driver.py
+++ b/hollystage/service/driver.py
@@ -124,12 +124,25 @@
         """The thread is done with the RPC; what its mailbox still holds and all that follows is done here."""
         with self.lock:
             exchange.served, exchange.cancel, exchange.earlier = False, None, None
+            self._abandon(exchange)
             while not exchange.mailbox.empty():
                 word = exchange.mailbox.get()
                 if isinstance(word, Action) and word.do is Do.HALT:
                     self.engine.halt(exchange.ident)
             self._drop(exchange)
 
+    def _abandon(self, exchange: Exchange) -> None:
+        """What a thread that failed, or waited in vain, leaves undone."""
+        now, rpc = clock(), exchange.rpc
+        unanswered, unstarted = not rpc.answered, rpc.ran and not exchange.applied and not exchange.ended
+        if unanswered:
+            self.control.gone(rpc, now)
+        if unstarted:
+            # guards the running limit: a run that nobody asked for would hold its place for good
+            self._finish(exchange, Outcome.MOOT, 0, b"", now)
+        if unanswered or unstarted:
+            self._settle(now)
+
     def calling(self, exchange: Exchange, cancel: Callable[[], None] | None) -> bool:
         """Names what gives up the call below; False where the RPC has got other news already."""
         with self.lock:
@@ -182,14 +195,8 @@
             exchange = self._find(ident)
             if exchange is None:
                 return
-            exchange.ended, owed = True, not exchange.rpc.answered
             now = clock()
-            end = Ended(outcome, result)
-            self.control.finished(exchange.rpc, outcome, spent, now)
-            if owed:
-                exchange.post(end)
-            for waiting in self.tokens.ended(exchange, end):
-                self._joined(waiting, end)
+            self._finish(exchange, outcome, spent, result, now)
             self._settle(now)
             self._drop(exchange)
 
@@ -285,6 +292,16 @@
         exchange.post(Ended(outcome, end.result))
         self._settle(now)
 
+    def _finish(self, exchange: Exchange, outcome: Outcome, spent: int, result: bytes, now: int) -> None:
+        """The end of a run, for the module, its own thread and the repeats that wait for it."""
+        exchange.ended, owed = True, not exchange.rpc.answered
+        end = Ended(outcome, result)
+        self.control.finished(exchange.rpc, outcome, spent, now)
+        if owed:
+            exchange.post(end)
+        for waiting in self.tokens.ended(exchange, end):
+            self._joined(waiting, end)
+
     def _find(self, ident: str) -> Exchange | None:
         exchange = self.exchanges.get(ident)
         if exchange is None or exchange.ended:
--- a/hollystage/service/exchange.py
+++ b/hollystage/service/exchange.py
@@ -29,8 +29,8 @@
 class Exchange:
     """One RPC, between the thread that serves it, the module and its run."""
 
-    __slots__ = ("rpc", "ident", "token", "digest", "earlier", "mailbox", "served", "ended", "at_call",
-                 "cancel")
+    __slots__ = ("rpc", "ident", "token", "digest", "earlier", "mailbox", "served", "applied", "ended",
+                 "at_call", "cancel")
 
     def __init__(self, rpc: Rpc, ident: str, token: Token | None, body: bytes) -> None:
         self.rpc, self.ident, self.token = rpc, ident, token
@@ -38,6 +38,7 @@
         self.earlier: Exchange | None = None
         self.mailbox: SimpleQueue[Word] = SimpleQueue()
         self.served = True  # its thread is still there
+        self.applied = False  # its run was asked for
         self.ended = False  # its run is over
         self.at_call: tuple[int, bytes] = (0, b"")
         self.cancel: Callable[[], None] | None = None  # gives up the call below that the thread is in
--- a/hollystage/service/http.py
+++ b/hollystage/service/http.py
@@ -17,6 +17,7 @@
 }.items()}
 NEEDED = {"x-request-id", "x-request-start", "x-caller", "x-memory-kb"}
 ONCE = {"content-length", "host", "transfer-encoding", *FORMS}  # two of these could be read two ways
+ESCAPE = re.compile(rb"%([0-9A-Fa-f]{2})")
 REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
            408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
            417: "Expectation Failed", 431: "Request Header Fields Too Large",
@@ -150,6 +151,20 @@
                      fields.get("idempotency-key"))
 
 
+def plain(text: str) -> str:
+    """A part of a path as it was before it was escaped; what is no valid escape or no UTF-8 stays as it is.
+
+    >>> plain("find"), plain("zone%20map"), plain("caf%C3%A9"), plain("50%"), plain("%ff"), plain("%2g")
+    ('find', 'zone map', 'café', '50%', '%ff', '%2g')
+    """
+    if "%" not in text:
+        return text
+    try:
+        return ESCAPE.sub(lambda match: bytes.fromhex(match[1].decode()), text.encode()).decode()
+    except UnicodeDecodeError:
+        return text
+
+
 def write_response(status: int, fields: dict[str, str], body: bytes, keep: bool) -> bytes:
     lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}", f"Content-Length: {len(body)}"]
     lines += [f"{name}: {value}" for name, value in fields.items()]
--- a/hollystage/service/instance.py
+++ b/hollystage/service/instance.py
@@ -13,7 +13,7 @@
 
 from ..settings import translate
 from .buffers import Pool
-from .clients import Clients
+from .clients import Clients, most_clients
 from .config import Config, peering, pooling, promises, state
 from .counters import Counters
 from .driver import Driver, clock
@@ -41,12 +41,13 @@
         self.driver = Driver(settings, int(config.seed, 16), self.counters)
         self.link = Link(config.address("vm"), self.driver, pool, self.counters, log)
         self.driver.engine = self.link
-        self.ledger = Ledger(config.address("ledger"), sockets // 8, pool, self.counters, log)
+        calls = sockets // 8
+        self.ledger = Ledger(config.address("ledger"), calls, pool, self.counters, log)
         self.registry = Registry(config.address("control"), config.name, self.driver, pool, self.counters,
                                  log)
         names = [profile.name for profile in config.settings.profiles]
         self.clients = Clients(config.address("listen"), names, self.driver, self.link, self.ledger,
-                               sockets * 11 // 16, pool, self.counters, log)
+                               most_clients(sockets, calls), pool, self.counters, log)
         self.peers = self._peers()
         if self.peers is not None:
             self.registry.hold_us = self.peers.steering.turns.wait("report", self.peers.steering.instances)
--- a/hollystage/service/ledger.py
+++ b/hollystage/service/ledger.py
@@ -41,11 +41,10 @@
             return self._count(Outcome.FULL), b""  # more than the descriptors allow
         address = self.address
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        except OSError:  # no descriptor: nothing was sent
+            sock, buffer = socket.socket(socket.AF_INET, socket.SOCK_STREAM), self.pool.take()
+        except (OSError, MemoryError):  # no descriptor, or no room: nothing was sent
             self.room.release()
             return self._count(Outcome.FULL), b""
-        buffer = self.pool.take()
         try:
             if not begin(lambda: _give_up(sock)):
                 return self._count(Outcome.CANCELLED), b""
--- a/hollystage/service/registry.py
+++ b/hollystage/service/registry.py
@@ -45,6 +45,7 @@
             with socket.create_connection(address, TIMEOUT_S) as sock:
                 fields = {"Connection": "close"}
                 sock.settimeout(None)
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 bound(sock, socket.SO_SNDTIMEO, TIMEOUT_S)
                 sock.sendall(write_request("PUT", self.path, f"{address[0]}:{address[1]}", fields, body))
                 reply = read_response(Stream(sock, self.buffer), until)
