Senseless addresses, depths and figures end the start with one line; errors are bounded too

Cause: a fuzz of every key of the configuration with 16 values, run through parse, translate and 30 ticks of a Control: a host that is no name ended in a UnicodeError at bind, JSON 100,000 deep in a RecursionError. Error lines were never bounded. Change: Faulty with the key for both; 20 error lines a second of one kind.

--- a/hollystage/service/config.py
+++ b/hollystage/service/config.py
@@ -13,6 +13,17 @@
 Address = tuple[str, int]
 
 
+def _is_host(text: str) -> bool:
+    """
+    >>> [_is_host(text) for text in ("127.0.0.1", "ledger.local", "", "a..b", "x" * 64)]
+    [True, True, False, False, False]
+    """
+    try:
+        return bool(text.encode("idna"))
+    except UnicodeError:
+        return False
+
+
 class Limits(msgspec.Struct):
     """What the process itself may use."""
 
@@ -46,7 +57,7 @@
         """
         text = getattr(self, key)
         host, _, port = text.rpartition(":")
-        if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        if not _is_host(host) or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
             raise Faulty(f"{key}: {text!r} is not an address like 127.0.0.1:6565")
         return host, int(port)
 
@@ -83,7 +94,7 @@
 def _decoded(text: bytes) -> dict[str, Any]:
     try:
         given = msgspec.json.decode(text)
-    except msgspec.DecodeError as bad:
+    except (msgspec.DecodeError, RecursionError) as bad:
         raise Faulty(f"configuration is not JSON: {bad}") from bad
     if not isinstance(given, dict):
         raise Faulty("configuration: Expected `object`")
--- a/hollystage/service/log.py
+++ b/hollystage/service/log.py
@@ -10,6 +10,7 @@
 from structlog.typing import EventDict
 
 EACH_S, BURST = 1.0, 5  # of one event, so many lines a second: guards the log against hostile input
+ERRORS = 20  # the same for errors, each of which may be the only trace of a fault
 
 
 class Bounded:
@@ -23,12 +24,13 @@
         kind, now = str(event.get("event")), time.monotonic()
         with self.lock:
             since, count = self.seen.get(kind, (now, 0))
+            most = ERRORS if level in ("error", "critical") else BURST
             if now - since > EACH_S:
-                if count > BURST:
-                    event["left_out"] = count - BURST
+                if count > most:
+                    event["left_out"] = count - most
                 since, count = now, 0
             self.seen[kind] = since, count + 1
-        if count >= BURST and level not in ("error", "critical"):
+        if count >= most:
             raise structlog.DropEvent
         return event
 
