--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,4 +1,5 @@
 """Two events that meet: the order is forced by a hook or a lock at the step in question; table in docs/service.md."""
+import contextlib
 import errno
 import threading
 import time
@@ -101,6 +102,42 @@
             assert sock.getsockopt(module.socket.IPPROTO_TCP, module.socket.TCP_NODELAY)
 
 
+@pytest.mark.parametrize("field, status", [(b"Content-Length: 0\r\nConnection: close", 200),
+                                           (b"Content-Length: 9000", 413)])
+def test_what_is_read_behind_the_last_answer_is_never_run(field, status):
+    with World() as world:
+        caller = world.caller()
+        first, second = (b"".join(half(ident)) for ident in (b"0123456789abcdef", b"fedcba9876543210"))
+        caller.sock.sendall(first.replace(b"Content-Length: 0", field) + second)
+        answer = caller.answer()
+        assert (answer.status, answer.keep) == (status, False) and caller.closed()
+        assert len(world.interpreter.got("APPLY")) == (status == 200)
+
+
+def test_a_reader_that_takes_nothing_is_let_go_in_time_and_the_rest_is_served_meanwhile(monkeypatch):
+    monkeypatch.setattr(module, "TAKE_S", 0.3)
+    with World() as world:
+        clients, slow = world.instance.clients, world.caller()
+        assert slow.ask().status == 200
+        connection, = clients.connections.values()
+        for sock, option in ((connection.sock, module.socket.SO_SNDBUF), (slow.sock, module.socket.SO_RCVBUF)):
+            sock.setsockopt(module.socket.SOL_SOCKET, option, 4096)
+        sender = threading.Thread(target=pipeline, args=(slow, 400), daemon=True)
+        sender.start()
+        assert world.caller().ask().status == 200
+        until(lambda: connection not in clients.connections.values())
+        assert world.count("clients.broken") == 1 and world.caller().ask().status == 200
+        slow.sock.close()
+        sender.join(5)
+
+
+def pipeline(caller, many):
+    """Sends RPCs one behind the other and reads no answer."""
+    with contextlib.suppress(OSError):
+        for _ in range(many):
+            caller.send(body=bytes(2048))
+
+
 # Shutdown
 
 def drained(world):
@@ -218,6 +255,26 @@
         assert not any(driver.control.places[at] for at in (HELD, RUNNING, WAITING, CALLING))
 
 
+def test_a_call_whose_rpc_ends_in_the_moment_of_its_beginning_is_never_made():
+    with World(Interpreter(auto=False)) as world:
+        driver, caller = world.instance.driver, world.caller().send()
+        ident, = world.interpreter.applied()
+        calling = driver.calling
+
+        def late(exchange, cancel):
+            if cancel is not None:
+                caller.sock.close()
+                until(lambda: world.count("rpc.gone") == 1)
+            return calling(exchange, cancel)
+
+        driver.calling = late
+        world.interpreter.notice("AWAIT", ident, b"a call")
+        until(lambda: world.interpreter.got("BREAK"))
+        world.interpreter.end(ident, result="cut")
+        until(lambda: not driver.exchanges)
+        assert world.count("ledger.connections") == 0 and not world.ledger.heard
+
+
 # Room
 
 def test_a_first_message_that_comes_slowly_outlives_idle_connections_at_a_full_table():
