A shutdown waits half a second at most for descriptors; pools keep a share below one too

Cause: two seconds could pass the kill at a grace of two and a stop at 3.2. Change: the wait is 0.5 s, as for the accepting thread. The test of a share below one call runs with a pool as well; it held.

--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -36,7 +36,7 @@
 RESERVED = 12  # descriptors that neither clients nor calls may take: the listener, the link, reports, files
 SPENT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # an accept that fails for want of room
 SWEEP_S, AGAIN_S = 0.1, 0.01
-HANDED_OVER_S = 0.5  # for the accepting thread to end once the listener is closed
+HANDED_OVER_S = 0.5  # for the accepting thread to end, or descriptors to come free, once the listener closes
 BACKLOG = 512
 ATTACH_FILTER = 26  # Linux; Python has no name for it
 
@@ -197,7 +197,7 @@
                                      struct.pack("HP", 1, ctypes.addressof(drop)))
         with contextlib.suppress(OSError):
             self.listener.setblocking(False)
-            self._accept_waiting(time.monotonic() + TAKEN_S)
+            self._accept_waiting(time.monotonic() + HANDED_OVER_S)
         with contextlib.suppress(OSError):
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -2,7 +2,7 @@
 from helpers import SECOND, Box, booking, lookup
 
 from hollystage.control import CALLERS
-from hollystage.interface import Do, Halt, Kind, Outcome, Say, Tenant
+from hollystage.interface import Do, Halt, Kind, Outcome, Pool, Pooling, Say, Tenant
 from hollystage.policy.buckets import BUCKETS, TICK, Client
 
 START, PUSH_BACK, ABORT, HALT, JOIN, KEEP = Do.START, Do.PUSH_BACK, Do.ABORT, Do.HALT, Do.JOIN, Do.KEEP
@@ -262,8 +262,9 @@
     assert Do.CALL in box.did(first) and Do.CALL not in box.did(second)
 
 
-def test_with_a_share_below_one_call_the_mean_keeps_to_it():
-    box = Box(lookup(), calls_out=0.5)
+@pytest.mark.parametrize("pooling", [None, Pooling((Pool("all", 1.0),), (0,))])
+def test_with_a_share_below_one_call_the_mean_keeps_to_it(pooling):
+    box = Box(lookup(), calls_out=0.5, pooling=pooling)
     box.wait(4 * SECOND)
     first, second = box.fill()
     box.at_call(first)
