A connection and what crosses its closing in a module of their own

Change: Connection, CallerStream, the count of connections and what the system tells of the other side moved to connection.py; no behaviour. Tests: the crossings and the service's doctests pass.

--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -15,6 +15,7 @@
 from ..interface import Do, Kind, Outcome, Rpc
 from .buffers import Broken, Pool, Stream, bound
 from .config import Address
+from .connection import CallerStream, Connection, closed_by_peer, unread
 from .counters import Counters
 from .driver import Driver, clock
 from .exchange import Ended, Exchange, Gone, Word
@@ -32,8 +33,6 @@
 OVERDUE_S = 1.0  # past an RPC's due time: the module must have answered long before
 TAKEN_S = 2.0
 LINGER_S = 0.5  # for the other side to close after its last answer
-CROSSING_S, CROSSING_STEP_S = 0.5, 0.01  # for the rest of a message that crosses our closing; between two looks
-RESERVED = 12  # descriptors that neither clients nor calls may take: the listener, the link, reports, files
 SPENT = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # an accept that fails for want of room
 SWEEP_S, AGAIN_S = 0.1, 0.01
 HANDED_OVER_S = 0.5  # for the accepting thread to end, or descriptors to come free, once the listener closes
@@ -43,49 +42,6 @@
 Answer = tuple[int, dict[str, str], bytes]
 
 
-class Connection:
-    def __init__(self, sock: socket.socket) -> None:
-        self.sock = sock
-        self.begun = self.idle_since = time.monotonic()  # the latter 0 while a message is read or answered
-        self.proven = False  # a whole message was read on it
-        self.hung_up = False  # by us: what crosses that is answered all the same
-        self.resting = False  # it was idle when we hung up: a message that was on its way may still come whole
-        self.closed = False  # by the caller
-        self.exchange: Exchange | None = None
-
-
-class CallerStream(Stream):
-    """Reads on where we hung up while a message was on its way.
-
-    Once the reading side is shut, a receipt no longer waits; what the other side sends arrives all the same.
-    """
-
-    def __init__(self, connection: Connection, buffer: bytearray) -> None:
-        super().__init__(connection.sock, buffer)
-        self.connection = connection
-
-    def more(self, until: float | None) -> bool:
-        if super().more(until):
-            return True
-        if self.empty() or not self.connection.resting:
-            return False
-        latest = time.monotonic() + CROSSING_S
-        while time.monotonic() < (latest if until is None else min(latest, until)):
-            time.sleep(CROSSING_STEP_S)
-            if super().more(until):
-                return True
-        return False
-
-
-def most_clients(sockets: int, calls: int) -> int:
-    """How many connections clients may have of the process's descriptors, `calls` of which are for calls below.
-
-    >>> most_clients(1024, 128), most_clients(32, 4)
-    (704, 16)
-    """
-    return min(sockets * 11 // 16, sockets - calls - RESERVED)
-
-
 class Clients:
     """Owns the listener and every connection taken from it."""
 
@@ -236,7 +192,7 @@
                 with self.lock:
                     connection = self.connections.get(number)
                     # the number may be another connection's by now; our own hanging up looks like a close
-                    if connection is None or connection.hung_up or not _closed(connection.sock):
+                    if connection is None or connection.hung_up or not closed_by_peer(connection.sock):
                         continue
                     connection.closed, exchange = True, connection.exchange
                 if exchange is not None:
@@ -321,7 +277,7 @@
             return False
         # what a caller sent behind it, and is here already, is owed an answer too: by the last the connection ends
         if self.closing:
-            keep = keep and (not stream.empty() or _waits(connection.sock))
+            keep = keep and (not stream.empty() or unread(connection.sock))
         else:
             keep = keep and not connection.hung_up
         status, fields, body = answer
@@ -436,17 +392,3 @@
     except Empty:
         # where the whole process was stopped for long, this wait ends before the module has looked at what is due
         return exchange.mailbox.get(timeout=OVERDUE_S)
-
-
-def _waits(sock: socket.socket) -> bool:
-    """Whether bytes lie unread."""
-    with contextlib.suppress(BlockingIOError):
-        return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-    return False
-
-
-def _closed(sock: socket.socket) -> bool:
-    """Whether the other side has closed, whatever it sent before."""
-    poll = select.poll()
-    poll.register(sock, select.POLLRDHUP)
-    return bool(poll.poll(0))
--- a/hollystage/service/instance.py
+++ b/hollystage/service/instance.py
@@ -13,8 +13,9 @@
 
 from ..settings import translate
 from .buffers import Pool
-from .clients import Clients, most_clients
+from .clients import Clients
 from .config import Config, peering, pooling, promises, state
+from .connection import most_clients
 from .counters import Counters
 from .driver import Driver, clock
 from .interpreter import Link
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,6 +10,8 @@
 
 from hollystage.policy.buckets import CALLING, HELD, RUNNING, WAITING
 from hollystage.service import clients as module
+from hollystage.service import connection as connections
+from hollystage.service.buffers import Stream
 
 
 def half(ident=b"0123456789abcdef"):
@@ -44,7 +46,7 @@
 def test_half_a_message_that_crosses_our_closing_of_a_resting_connection_may_come_whole(monkeypatch):
     first, rest = half()
     taken, hung_up = threading.Event(), threading.Event()
-    more = module.Stream.more
+    more = Stream.more
 
     def held(stream, until):
         got = more(stream, until)
@@ -53,7 +55,7 @@
             assert hung_up.wait(5)
         return got
 
-    monkeypatch.setattr(module.Stream, "more", held)
+    monkeypatch.setattr(Stream, "more", held)
     with World() as world:
         caller, clients = world.caller(), world.instance.clients
         assert caller.ask().status == 200
@@ -69,7 +71,7 @@
 
 
 def test_half_a_message_that_never_comes_whole_ends_in_time(monkeypatch):
-    monkeypatch.setattr(module, "CROSSING_S", 0.1)
+    monkeypatch.setattr(connections, "CROSSING_S", 0.1)
     with World() as world:
         caller, clients = world.caller(), world.instance.clients
         assert caller.ask().status == 200
