What RPCs wait for their calls counts before a start, unless they may do without

Change: what the method's runs were off the cores beyond one usual call is added, except where an answer without the call earns something.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -98,8 +98,7 @@
         bad = not self._seldom() if odd else outcome not in (Outcome.OK, Outcome.CANCELLED)
         # guards the calls below against crowding by all instances, whatever made them slow
         calls = self.places[CALLING] + len(self.lingering)
-        end = Ended(outcome, spent, calls, self.usual_call, odd, bad, now)
-        self.below.ended(end)
+        self.below.ended(end := Ended(outcome, spent, calls, self.usual_call, odd, bad, now))
         if self.pools is not None:
             self.pools.called(rpc, end)
         self._resume(rpc, outcome)
@@ -218,7 +217,7 @@
             needs.append((client, 2 * rate * cost + 0.01, worth / cost, cost))
         given = dict.fromkeys(self.clients.values(), 0.0)
         room = self.lim
-        # water-filling: near an order where criticality differs much, an even share where hardly, none for none
+        # water-filling: near an order where criticality differs much, an even share where hardly
         while room > 1e-3 and (total := sum(need * density ** 2 for _, need, density, _ in needs)) > 0:
             part = min(room / total, 1 / max(density for _, _, density, _ in needs) ** 2)
             for client, need, density, cost in needs:
--- a/hollystage/policy/lines.py
+++ b/hollystage/policy/lines.py
@@ -33,7 +33,7 @@
         self.memory = self.extra = self.busy = self.usual_call = 0.0
         self.lim = float(settings.cores)
         self.clients: dict[tuple[Tenant | None, Method], Client] = {}
-        self.runs, self.ends = ({m: Decaying(now) for m in settings.methods} for _ in range(2))
+        self.runs, self.ends, self.offs = ({m: Decaying(now) for m in settings.methods} for _ in range(3))
         self.firsts = {m: [0.0] * (BINS + 1) for m in settings.methods}
         self.pressed, self.stuck, self.drowned, self.healthy = False, False, False, True
         self.seen: dict[int, int] = {}
@@ -54,7 +54,6 @@
         least = min(most, given.least or share * LEAST)
         self.below = limit_of(given.policy, min(most, share / 2), least, most, now)
         self.stalls = Stalls(LATE)
-        self.offs = {m: Decaying(now) for m in settings.methods}
         self.pace = Decaying(now)  # time on the cores over the hints of the RPCs that took it
         self.lingering: list[int] = []
         self.pacer = Pacer(now, 0.0, settings.calls_over)
--- a/hollystage/policy/measures.py
+++ b/hollystage/policy/measures.py
@@ -87,12 +87,14 @@
         return min(max(0, deadline - seen), elsewhere)  # a further one, yet with a first one's patience
 
     def _hopeless(self, rpc: Rpc, wait: float = 0.0) -> bool:
-        """Whether what is left before the latency target no longer fits the RPC's usual cost."""
+        """Whether what is left before the target no longer fits the RPC's usual cost and, where it cannot
+        do without a call, what such RPCs wait for theirs beyond a usual one."""
         # a run that may just fit is worth the try for the critical, waste for the least where much bounces
         costs = self.rank[rpc.method]
         if self._bouncing(BOUNCED):
             costs *= INSIDE if self._in_share(rpc) else CHOOSY if costs >= 1 else 1
-        return self.now + wait + costs * self._work(rpc) > min(rpc.target, rpc.due)
+        waits = 0 if rpc.method.skip_share else self.offs[rpc.method].mean(self.now, 0, 1) - self.usual_call
+        return self.now + wait + costs * self._work(rpc) + max(0, waits) > min(rpc.target, rpc.due)
 
     def _cost(self, method: Method) -> float:
         """Usual time on the cores, as it is with the present crowd on them."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -289,6 +289,20 @@
     assert call.span == span if span else call.span > SECOND
 
 
+@pytest.mark.parametrize("skip_share, pushed", [(0.0, True), (0.3, False)])
+def test_what_its_like_waits_for_calls_counts_before_a_start_unless_it_may_do_without(skip_share, pushed):
+    box = Box(lookup(skip_share=skip_share), calls_out=40.0)
+    for _ in range(20):
+        rpc = box.send()
+        box.control.usual_call = 50_000
+        rpc.off_cores = 2_200_000  # it waited for a call for more than its target
+        box.now += TICK
+        box.end(rpc)
+    box.fill()
+    held = box.send()
+    assert (PUSH_BACK in box.did(held)) is pushed
+
+
 def test_a_method_of_no_criticality_is_planned_for_and_still_run_where_there_is_room():
     worthless = lookup(criticality=0.0)
     box = Box(lookup(), worthless)
