--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -256,6 +256,16 @@
         assert proven.ask().status == 200  # outlives those that never said anything
 
 
+def test_the_tenant_and_the_cost_of_an_rpc_reach_the_module():
+    tenants = [{"Name": "walk-up", "QuotaPerS": 5.0}, {"Name": "Agents & Co", "QuotaPerS": 3.0}]
+    with World(Interpreter(auto=False), settings=SETTINGS | {"Tenants": tenants}) as world:
+        world.caller().send(X_Tenant="Agents & Co", X_Cost_Ms="507.12")
+        world.interpreter.applied()
+        exchange, = world.instance.driver.exchanges.values()
+        assert exchange.rpc.tenant is world.instance.driver.settings.tenants[1]
+        assert exchange.rpc.hint == 507_120
+
+
 # The interpreter
 
 @pytest.mark.parametrize("late", ["listening", "banner"])
