--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Case 1: a request whose run has just ended is run a second time when the link to the interpreter was broken."""
+"""Case 1: a request whose run has just ended is run a second time after its interpreter moved to a new address."""
 from __future__ import annotations
 
 import asyncio
@@ -23,6 +23,7 @@
     Record,
     Requests,
     accept_report,
+    address,
     disrupted,
     free_port,
     run_case,
@@ -58,8 +59,8 @@
     for part in (interpreter, ledger, control):
         await part.start()
     instance = Instance("n1", folder, {
-        "name": "n1", "listen": f"127.0.0.1:{free_port()}", "vm": f"127.0.0.1:{interpreter.port}",
-        "ledger": f"127.0.0.1:{ledger.port}", "control": f"127.0.0.1:{control.port}", "seed": "8c1f30d27a5be964",
+        "name": "n1", "listen": address(free_port()), "vm": address(interpreter.port),
+        "ledger": address(ledger.port), "control": address(control.port), "seed": "8c1f30d27a5be964",
         "stop_ms": 3000, "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "settings": SETTINGS})
     instance.start()
     try:
@@ -74,7 +75,7 @@
             while disrupted():
                 await asyncio.sleep(RELOAD_EVERY_S * rng.uniform(0.8, 1.2))
                 await interpreter.move()
-                instance.config["vm"] = f"127.0.0.1:{interpreter.port}"
+                instance.config["vm"] = address(interpreter.port)
                 instance.write_config()
                 instance.send_signal(signal.SIGHUP)
 
@@ -90,8 +91,9 @@
     for req in twice:
         record.write("run twice", req=req, key=requests.keys[req], times=interpreter.run_counts[req])
     others = len([req for req, count in interpreter.run_counts.items() if count > 1]) - len(twice)
-    text = (f"{len(twice)} of {len(keyed)} keyed requests that ran were run more than once (and {others} others); {interpreter.links} links "
-            f"in {time.monotonic() - started:.0f} s; answers {dict(sorted(clients.answers.items()))}")
+    text = (f"{len(twice)} of {len(keyed)} keyed requests that ran were run more than once (and {others} others); "
+            f"{interpreter.links} links in {time.monotonic() - started:.0f} s; "
+            f"answers {dict(sorted(clients.answers.items()))}")
     if clients.answers.get("200", 0) < 100:
         return NOT_RUN, "hardly anything was served; " + text
     return (BROKEN if twice else HELD), text
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -11,26 +11,14 @@
 from pathlib import Path
 from typing import Any
 
-from world import Clients, HttpStandIn, Instance, Interpreter, Record, Requests, accept_report, free_port
+from world import Clients, HttpStandIn, Instance, Interpreter, Record, Requests, accept_report, address, free_port
 
-PLAN = """fleet(instances = {count}, bind = "127.0.0.1:{port}", peers = {peers}, key = "{key}")
+PLAN = """fleet(instances = {count}, bind = "{bind}", peers = {peers}, key = "{key}")
 leases(voters = {voters}, length = {length}ms)
 budget("calls", whole = {whole}, floor = 0, use = {use}ms, kept = 0%)
 """
 
 
-def free_fleet_port() -> int:
-    """A port that is free for datagrams and for connections."""
-    while True:
-        port = free_port()
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue
-
-
 class Ledger(HttpStandIn):
     """Answers each call after `call_s`. It counts the calls that are in its hands, by the instance that made them.
 
@@ -81,7 +69,7 @@
         self.folder, self.record, self.ledger, self.length_ms, self.use_ms = folder, record, ledger, length_ms, use_ms
         self.rng, self.requests = random.Random(), Requests()
         self.names = [f"n{number}" for number in range(1, count + 1)]
-        self.ports = {name: free_fleet_port() for name in self.names}
+        self.ports = {name: free_port(socket.SOCK_DGRAM) for name in self.names}
         self.settings, self.cores, self.work_s, self.calling = settings, cores, work_s, calling
         self.control = HttpStandIn(accept_report)
         self.interpreters: dict[str, Interpreter] = {}
@@ -94,9 +82,9 @@
     def write_plan(self, name: str, length_ms: int) -> Path:
         path = self.folder / f"{name}.star"
         path.write_text(PLAN.format(
-            count=len(self.names), port=self.ports[name], key=self.key, length=length_ms, use=self.use_ms,
+            count=len(self.names), bind=address(self.ports[name]), key=self.key, length=length_ms, use=self.use_ms,
             whole=self.ledger.whole, voters=json.dumps(self.names[:3]),
-            peers=json.dumps([f"127.0.0.1:{self.ports[peer]}" for peer in self.names[:3] if peer != name])))
+            peers=json.dumps([address(self.ports[peer]) for peer in self.names[:3] if peer != name])))
         return path
 
     async def start(self) -> bool:
@@ -111,8 +99,8 @@
             await interpreter.start()
             port = free_port()
             self.instances[name] = Instance(name, self.folder, {
-                "name": name, "listen": f"127.0.0.1:{port}", "vm": f"127.0.0.1:{interpreter.port}",
-                "ledger": f"127.0.0.1:{self.ledger.port}", "control": f"127.0.0.1:{self.control.port}",
+                "name": name, "listen": address(port), "vm": address(interpreter.port),
+                "ledger": address(self.ledger.port), "control": address(self.control.port),
                 "seed": f"{self.rng.getrandbits(64):016x}", "stop_ms": 3000,
                 "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512}, "settings": self.settings},
                 {"HOLLYSTAGE_PLAN": str(self.write_plan(name, self.length_ms))})
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -25,9 +25,24 @@
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 
 
-def free_port(host: str = "127.0.0.1") -> int:
-    with socket.create_server((host, 0)) as sock:
-        return int(sock.getsockname()[1])
+# a loopback address of this run's own, so that no other program takes a port between its choice and its use
+HOST = f"127.{random.SystemRandom().randrange(16, 250)}.{random.SystemRandom().randrange(1, 250)}.1"
+
+
+def free_port(kind: int = socket.SOCK_STREAM) -> int:
+    """A port below those of outgoing connections, since the instance binds it later, perhaps more than once."""
+    while True:
+        port = random.SystemRandom().randrange(10_000, 30_000)
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock, contextlib.suppress(OSError):
+            sock.bind((HOST, port))
+            with socket.socket(socket.AF_INET, kind) as other:
+                if kind != socket.SOCK_STREAM:
+                    other.bind((HOST, port))
+            return port
+
+
+def address(port: int) -> str:
+    return f"{HOST}:{port}"
 
 
 def disrupted() -> bool:
@@ -42,7 +57,8 @@
         self.file, self.started_at = open(path, "w", encoding="utf-8"), time.monotonic()
 
     def write(self, event: str, **fields: Any) -> None:
-        self.file.write(json.dumps({"t": round(time.monotonic() - self.started_at, 4), "event": event} | fields) + "\n")
+        line = {"t": round(time.monotonic() - self.started_at, 4), "event": event} | fields
+        self.file.write(json.dumps(line) + "\n")
 
     def close(self) -> None:
         self.file.close()
@@ -81,7 +97,7 @@
         await self._listen()
 
     async def _listen(self) -> None:
-        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=1 << 16)
+        self.server = await asyncio.start_server(self._serve, HOST, 0, limit=1 << 16)
         self.port = self.server.sockets[0].getsockname()[1]
 
     async def move(self) -> None:
@@ -207,14 +223,17 @@
     return head[0], fields, await reader.readexactly(int(fields.get("content-length", "0")))
 
 
+Answer = Callable[[str, dict[str, str], bytes, asyncio.StreamReader], Awaitable[bytes]]
+
+
 class HttpStandIn:
     """An HTTP server on loopback: `answer` gets the first line, fields and body, and returns the whole answer."""
 
-    def __init__(self, answer: Callable[[str, dict[str, str], bytes, asyncio.StreamReader], Awaitable[bytes]]) -> None:
+    def __init__(self, answer: Answer) -> None:
         self.answer, self.port = answer, 0
 
     async def start(self) -> None:
-        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        server = await asyncio.start_server(self._serve, HOST, 0)
         self.port = server.sockets[0].getsockname()[1]
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -249,10 +268,10 @@
 
     def start(self) -> None:
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-        env = {"PATH": os.environ.get("PATH", "/usr/bin:/bin"), "PROXY_NAME": self.name, "TMPDIR": str(self.path.parent),
-               "PROXY_LISTEN": self.config["listen"], "PROXY_CONFIG": str(self.path)}
-        self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env | self.env, stdin=subprocess.DEVNULL,
-                                        stdout=self.log, stderr=self.log)
+        env = {"PATH": os.environ.get("PATH", "/usr/bin:/bin"), "PROXY_NAME": self.name,
+               "TMPDIR": str(self.path.parent), "PROXY_LISTEN": self.config["listen"], "PROXY_CONFIG": str(self.path)}
+        self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env | self.env,
+                                        stdin=subprocess.DEVNULL, stdout=self.log, stderr=self.log)
 
     def send_signal(self, number: int) -> None:
         if self.process is not None and self.process.poll() is None:
@@ -269,8 +288,9 @@
         end = time.monotonic() + timeout
         while time.monotonic() < end:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-                writer.write(b"GET /status/live?deep=1 HTTP/1.1\r\nHost: service.internal\r\nConnection: close\r\n\r\n")
+                reader, writer = await asyncio.open_connection(HOST, self.port)
+                writer.write(b"GET /status/live?deep=1 HTTP/1.1\r\nHost: service.internal\r\n"
+                             b"Connection: close\r\n\r\n")
                 first, _, _ = await read_message(reader)
                 writer.close()
                 if " 200 " in first + " ":
@@ -351,10 +371,13 @@
             if not reader.at_eof() and not writer.is_closing():
                 return reader, writer
             writer.close()
-        return await asyncio.open_connection("127.0.0.1", self.port)
+        return await asyncio.open_connection(HOST, self.port)
+
+
+Scenario = Callable[[Path, Record], Awaitable[tuple[int, str]]]
 
 
-def run_case(case: str, scenario: Callable[[Path, Record], Awaitable[tuple[int, str]]], limit_s: float = 112.0) -> int:
+def run_case(case: str, scenario: Scenario, limit_s: float = 112.0) -> int:
     """Runs a scenario in a temporary folder, writes its verdict to record.txt and returns the exit code."""
     folder = Path(case).resolve().parent
     record = Record(folder / "record.txt")
