--- a/hollystage/service/interpreter.py
+++ b/hollystage/service/interpreter.py
@@ -13,7 +13,7 @@
 import threading
 import time
 from queue import SimpleQueue
-from typing import Annotated, Any, Literal
+from typing import Any
 
 import msgspec
 
@@ -22,33 +22,9 @@
 from .config import Address
 from .counters import Counters
 from .driver import Driver
+from .notices import OUTCOME_OF_RESULT, InterpreterProtocolError, Notice, NoticeDecoder
 
 CONNECT_TIMEOUT_S, SILENCE_TIMEOUT_S, RECONNECT_DELAY_S = 0.5, 3.0, 0.05
-OUTCOME_OF_RESULT = {"good": Outcome.OK, "bad": Outcome.ERROR, "cut": Outcome.CANCELLED, "gone": Outcome.MOOT}
-
-
-class Notice(msgspec.Struct):
-    """One message of the interpreter, a JSON line; the fields that a kind of notice lacks keep their defaults."""
-
-    cmd: str
-    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
-    req: str = ""
-    result: str = ""
-    elapsed_ms: Annotated[float, msgspec.Meta(ge=0, lt=1e12)] = 0
-    payload: bytes = b""
-    token: str = ""
-    load: list[float] = []
-
-
-class TraceNotice(msgspec.Struct):
-    """A TRACE notice. It is ignored, whatever its other fields contain."""
-
-    cmd: Literal["TRACE"]
-    offset: Annotated[int, msgspec.Meta(ge=0)] = 0
-
-
-class InterpreterProtocolError(Exception):
-    """The interpreter sent a line that is not a valid notice."""
 
 
 class SmokeTest:
@@ -76,7 +52,7 @@
         self.offset = self.connection_count = self.request_count = 0
         self.queued_lines = 0  # lines that the writer thread has yet to send; new lines must queue behind them
         self.address_changed = threading.Event()  # set when the address changes
-        self.decoder = msgspec.json.Decoder(Notice)
+        self.decoder = NoticeDecoder()
 
     # Commands
 
@@ -243,7 +219,7 @@
                 stream.skip_past(b"\n", time.monotonic() + SILENCE_TIMEOUT_S)
                 self.counters.add("interpreter.too_long")
                 continue
-            notice = self._decode(line)
+            notice = self.decoder.decode(line)
             greeted = greeted or notice.cmd == "BANNER"
             if notice.offset:
                 if notice.offset <= self.offset:
@@ -252,13 +228,6 @@
             self._handle_notice(notice, marker)
             self.counters.add(f"interpreter.in.{notice.cmd}")
 
-    def _decode(self, line: bytes) -> Notice:
-        """Decodes a line; one that is valid only as a TRACE yields a TRACE notice with its offset."""
-        try:
-            return self.decoder.decode(line)
-        except msgspec.ValidationError:
-            return Notice("TRACE", msgspec.json.decode(line, type=TraceNotice).offset)
-
     def _handle_notice(self, notice: Notice, marker: str) -> None:
         match notice.cmd:
             case "VALUE":
