A run that has just ended is not started again after a reconnect

Cause: InterpreterLink took the answer to TOP on a new link for proof that every run without a VALUE was open, and sent APPLY again for each. It proves this for the moment at which it was written; a run that ends before the second APPLY arrives begins again, its VALUE being behind the answer. Excluded: repeats by clients (there are none), two threads that send one APPLY (one on each link in the record), lost VALUEs (all were read later).

What the protocol proves: a command came if a later notice of its run says so, or the answer to a TOP behind it on one link; a run cannot begin again only once its RPC is over (APPLY then ends as `gone`). BREAK and TOP prove nothing where cores stand still. Change: before a change of address the old link confirms all commands with a TOP, while new ones are held, so none is sent again. After a broken link an unconfirmed APPLY is sent again only if the RPC may run twice or is over. Decided without I/O in decisions/recovery/pending_commands.py. New counters interpreter.handovers, .handovers_timed_out, .uncertain.*, and a log line.

Stays: an RPC whose withheld APPLY was lost with a broken link is aborted when due (docs/incidents/run-started-again.md).

--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -12,7 +12,7 @@
 from queue import Empty
 from typing import Any
 
-from ..interface import ActionKind, MethodKind, Outcome, Rpc
+from ..interface import ActionKind, Method, MethodKind, Outcome, Rpc
 from .buffers import BufferPool, IncompleteMessageError, Stream, set_socket_timeout
 from .config import Address
 from .connection import CallerStream, Connection, await_acknowledgement, closed_by_peer, has_unread_bytes
@@ -387,7 +387,8 @@
                         self.counters.add("rpc.aborted")
                         return 500, {}, b""
                     case ActionKind.START:
-                        self.link.apply(exchange.request_id, name, request.body)
+                        self.link.apply(exchange.request_id, name, request.body,
+                                        method.kind is MethodKind.IDEMPOTENT, _caller_waits_until(header, method))
                         exchange.run_requested = True
                     case ActionKind.CALL:
                         self._make_call(exchange, event.duration)
@@ -436,6 +437,11 @@
     return header.timeout_ms * 1000 - unread_time or NO_TIME_LEFT
 
 
+def _caller_waits_until(header: RpcFields, method: Method) -> int:
+    """Returns when the caller gives up at the latest; Unix time in microseconds."""
+    return header.start_ms * 1000 + (method.deadline if header.timeout_ms is None else header.timeout_ms * 1000)
+
+
 def _next_event(exchange: Exchange, timeout: float) -> ExchangeEvent:
     """Waits up to `timeout` seconds for the next event of an RPC.
 
--- a/hollystage/service/interpreter.py
+++ b/hollystage/service/interpreter.py
@@ -1,10 +1,13 @@
-"""The link to the interpreter: sends commands and receives notices, and loses neither when the connection is lost.
+"""The link to the interpreter: sends commands and receives notices, and survives the loss of its connection.
 
-The commands of a run are kept until a notice confirms that they were received. On a new connection the interpreter
-first sends the notices that were missed. Then the link requests the gauges; their arrival shows that all missed
-notices were read, and only then are the commands of the runs that are still open sent again. Thus a run that has
-ended is never requested again. An interpreter that is still starting rejects the request for gauges, so they are
-requested when its BANNER arrives.
+On a new connection the interpreter first sends the notices that were missed. Then the link requests the gauges;
+their arrival shows that these notices were read, and only then are commands sent. An interpreter that is still
+starting rejects the request for gauges, so they are requested when its BANNER arrives. `PendingCommands` decides
+which commands that were written to an earlier connection are sent again.
+
+If the address changes, commands are held and the gauges are requested once more on the old connection. Their arrival
+shows that the interpreter has read all earlier commands, so that none is in doubt when the link connects to the new
+address.
 """
 from __future__ import annotations
 
@@ -17,14 +20,16 @@
 
 import msgspec
 
+from ..decisions.recovery.pending_commands import Command, CommandKind, PendingCommands
 from ..interface import Outcome
 from .buffers import BufferPool, IncompleteMessageError, MessageTooLongError, Stream, set_socket_timeout
 from .config import Address
 from .counters import Counters
-from .driver import Driver
+from .driver import Driver, clock
 from .notices import OUTCOME_OF_RESULT, InterpreterProtocolError, Notice, NoticeDecoder
 
 CONNECT_TIMEOUT_S, SILENCE_TIMEOUT_S, RECONNECT_DELAY_S = 0.5, 3.0, 0.05
+HANDOVER_TIMEOUT_S = 0.5  # for the reply on the connection to the old address, which is closed after 1.5 s
 
 
 class SmokeTest:
@@ -44,49 +49,60 @@
     def __init__(self, address: Address, driver: Driver, pool: BufferPool, counters: Counters, log: Any) -> None:
         self.address, self.driver, self.pool, self.counters, self.log = address, driver, pool, counters, log
         self.lock = threading.Lock()
-        self.unacknowledged: dict[str, list[bytes]] = {}
+        self.pending = PendingCommands()
         self.smoke_tests: dict[str, SmokeTest] = {}
         self.send_queue: SimpleQueue[tuple[socket.socket, bytes]] = SimpleQueue()
         self.sock: socket.socket | None = None  # None while disconnected
         self.synced = self.stopped = False
-        self.offset = self.connection_count = self.request_count = 0
+        self.offset = self.smoke_count = 0
         self.queued_lines = 0  # lines that the writer thread has yet to send; new lines must queue behind them
         self.address_changed = threading.Event()  # set when the address changes
+        # tokens of the requests for gauges that end the synchronization and a handover; empty if there is none
+        self.sync_token = self.handover_token = ""
+        self.handover_deadline = 0.0  # time.monotonic() at which a handover ends without the reply
         self.decoder = NoticeDecoder()
 
     # Commands
 
-    def apply(self, request_id: str, method: str, payload: bytes) -> None:
-        """Starts a run."""
+    def apply(self, request_id: str, method: str, payload: bytes, may_repeat: bool, caller_waits_until: int) -> None:
+        """Starts a run.
+
+        `may_repeat`: whether the RPC may run twice; `caller_waits_until`: when its caller gives up, microseconds.
+        """
         with self.lock:
-            self.unacknowledged[request_id] = []
-        self._send_run_command(request_id, {"cmd": "APPLY", "req": request_id, "method": method, "payload": payload})
+            self.pending.open_run(request_id, may_repeat, caller_waits_until)
+        self._send_run_command(request_id, CommandKind.START, {
+            "cmd": "APPLY", "req": request_id, "method": method, "payload": payload})
 
     def halt(self, request_id: str) -> None:
         """Takes a run off the cores."""
-        self._send_run_command(request_id, {"cmd": "BREAK", "req": request_id})
+        self._send_run_command(request_id, CommandKind.HALT, {"cmd": "BREAK", "req": request_id})
 
     def resolve(self, request_id: str, payload: bytes) -> None:
         """Resumes a run with the reply to its downstream call."""
-        self._send_run_command(request_id, {"cmd": "RESOLVE", "req": request_id, "payload": payload})
+        self._send_run_command(request_id, CommandKind.RESUME,
+                               {"cmd": "RESOLVE", "req": request_id, "payload": payload})
 
     def stub(self, request_id: str, offset: int) -> None:
         """Resumes a run without its downstream call, which the notice at `offset` requested."""
-        self._send_run_command(request_id, {"cmd": "STUB", "req": request_id, "offset": offset})
+        self._send_run_command(request_id, CommandKind.SKIP, {"cmd": "STUB", "req": request_id, "offset": offset})
 
     def request_gauges(self) -> None:
-        """Requests the gauges, unless the link is still synchronizing."""
+        """Requests the gauges, unless the link is still synchronizing; called at each tick."""
         with self.lock:
-            self.request_count += 1
+            if self.handover_token and time.monotonic() > self.handover_deadline:
+                self.counters.add("interpreter.handovers_timed_out")
+                self._drop_connection()
             if self.synced:
-                self._send({"cmd": "TOP", "token": f"top-{self.request_count}"})
+                self._send_pending()  # commands of RPCs that are over by now
+                self._send_gauge_request()
 
     def run_smoke_test(self, timeout: float) -> bool:
         """Returns whether the interpreter executed a test command within `timeout` seconds."""
         smoke = SmokeTest()
         with self.lock:
-            self.request_count += 1
-            token = f"smoke-{self.request_count}"
+            self.smoke_count += 1
+            token = f"smoke-{self.smoke_count}"
             self.smoke_tests[token] = smoke
             if self.synced:
                 self._send({"cmd": "SMOKE", "token": token})
@@ -95,35 +111,49 @@
             self.smoke_tests.pop(token, None)
         return smoke.passed
 
-    def _send_run_command(self, request_id: str, command: dict[str, Any]) -> None:
+    def _send_run_command(self, request_id: str, kind: CommandKind, command: dict[str, Any]) -> None:
         """Stores a command of an open run until it is confirmed, and sends it if the link is synchronized."""
+        pending = Command(kind, _encode(command))
         with self.lock:
-            lines = self.unacknowledged.get(request_id)
-            if lines is None:  # the run has ended
-                return
-            lines.append(self._encode(command))
-            if self.synced:
-                self._send_line(lines[-1])
+            if self.pending.add(request_id, pending) and self.synced:
+                self._send_run_line(pending)
+
+    def _send_pending(self) -> None:
+        for command in self.pending.sendable(clock()):
+            self._send_run_line(command)
+
+    def _send_run_line(self, command: Command) -> None:
+        if self._send_line(command.data):
+            self.pending.written(command)
+
+    def _send_gauge_request(self) -> str:
+        """Requests the gauges and returns the token of the reply, which confirms the commands written before."""
+        token = f"top-{self.pending.checkpoint()}"
+        self._send({"cmd": "TOP", "token": token})
+        return token
 
     def _send(self, command: dict[str, Any]) -> None:
-        self._send_line(self._encode(command))
+        self._send_line(_encode(command))
+
+    def _send_line(self, line: bytes) -> bool:
+        """Sends what the socket takes without blocking; the writer thread sends the rest.
 
-    def _send_line(self, line: bytes) -> None:
-        """Sends what the socket takes without blocking; the writer thread sends the rest."""
+        Returns False if the connection is broken and certainly delivered no part of the line.
+        """
         if self.sock is None:
-            return
+            return False
         if not self.queued_lines:
             try:
                 line = line[self.sock.send(line, socket.MSG_DONTWAIT):]
+            except BlockingIOError:
+                pass  # the buffer is full
             except OSError:
-                pass  # the buffer is full or the connection broken: the writer thread handles both
+                self._shut_down(self.sock)  # the reader thread owns the socket and closes it
+                return False
         if line:
             self.queued_lines += 1
             self.send_queue.put((self.sock, line))
-
-    @staticmethod
-    def _encode(command: dict[str, Any]) -> bytes:
-        return msgspec.json.encode(command) + b"\n"
+        return True
 
     # Threads
 
@@ -146,20 +176,29 @@
             self.address_changed.clear()
 
     def set_address(self, address: Address) -> None:
-        """Reconnects at once if the address changed, and resynchronizes as after a lost connection."""
+        """If the address changed, connects to the new one once the interpreter has read all commands."""
         with self.lock:
             if address != self.address:
                 self.address = address
                 self.address_changed.set()
-                if self.sock is not None:
-                    self._shut_down(self.sock)
+                if self.synced:
+                    self.synced, self.handover_token = False, self._send_gauge_request()
+                    self.handover_deadline = time.monotonic() + HANDOVER_TIMEOUT_S
+                elif not self.handover_token:
+                    self._drop_connection()
+
+    def _drop_connection(self) -> None:
+        """Ends the connection, if there is one; the reader thread owns the socket and closes it."""
+        self.handover_token = ""
+        if self.sock is not None:
+            self._shut_down(self.sock)
 
     def stop(self) -> None:
         """Ends the connection and both threads."""
         with self.lock:
             self.stopped = True
+            self._drop_connection()
             if self.sock is not None:
-                self._shut_down(self.sock)
                 self.queued_lines += 1
                 self.send_queue.put((self.sock, b""))  # wakes the writer thread
 
@@ -184,11 +223,12 @@
             with self.lock:
                 if address != self.address:  # it changed while connecting
                     return
-                self.connection_count += 1
-                self.sock, self.synced, marker = sock, False, f"all-{self.connection_count}"
+                self.sock = sock
                 self._send({"cmd": "CONNECT", "offset": self.offset})
             self.counters.add("interpreter.links")
-            self._read_notices(Stream(sock, buffer), marker)
+            self._read_notices(Stream(sock, buffer))
+            self.counters.add("interpreter.handovers")
+            self.log.info("interpreter has read all commands before the change of its address")
         except (OSError, IncompleteMessageError, MessageTooLongError, InterpreterProtocolError,
                 msgspec.DecodeError) as error:
             if self.stopped:
@@ -196,17 +236,24 @@
             self.counters.add("interpreter.broken")
             self.log.warning("interpreter connection lost", why=f"{type(error).__name__}: {error}")
         finally:
-            with self.lock:
-                self.sock, self.synced = None, False
+            self._connection_ended()
             self._shut_down(sock)
             sock.close()
             self.pool.release(buffer)
 
-    def _read_notices(self, stream: Stream, marker: str) -> None:
-        """Reads notices until an exception ends the connection.
+    def _connection_ended(self) -> None:
+        """Lets no more commands be written, and counts those of which nobody knows whether they arrived."""
+        with self.lock:
+            self.sock, self.synced, self.sync_token, self.handover_token = None, False, "", ""
+            uncertain = self.pending.connection_lost()
+        if not any(uncertain):
+            return
+        self.log.info("commands of the ended interpreter connection may be lost", **uncertain._asdict())
+        for action, number in uncertain._asdict().items():
+            self.counters.add(f"interpreter.uncertain.{action}", number)
 
-        `marker`: token of the request for gauges that follows the BANNER.
-        """
+    def _read_notices(self, stream: Stream) -> None:
+        """Reads notices until a handover completes or an exception ends the connection."""
         greeted = False
         while True:
             # the gauges are requested before each tick, so silence means a dead connection; before the BANNER there
@@ -225,32 +272,33 @@
                 if notice.offset <= self.offset:
                     continue
                 self.offset = notice.offset
-            self._handle_notice(notice, marker)
+            self._handle_notice(notice)
             self.counters.add(f"interpreter.in.{notice.cmd}")
+            if notice.cmd == "TOPS" and notice.token == self.handover_token:
+                return
 
-    def _handle_notice(self, notice: Notice, marker: str) -> None:
+    def _handle_notice(self, notice: Notice) -> None:
         match notice.cmd:
             case "VALUE":
                 if notice.result not in OUTCOME_OF_RESULT:
                     raise InterpreterProtocolError(f"unknown result of a run: {notice.result!r}")
                 with self.lock:
-                    self.unacknowledged.pop(notice.req, None)
+                    self.pending.run_ended(notice.req)
                 duration = int(notice.elapsed_ms * 1000)
                 self.driver.finished(notice.req, OUTCOME_OF_RESULT[notice.result], duration, notice.payload)
             case "AWAIT":
                 with self.lock:
-                    if notice.req in self.unacknowledged:
-                        self.unacknowledged[notice.req] = []
+                    self.pending.run_at_call(notice.req)
                 self.driver.at_call(notice.req, notice.offset, notice.payload)
             case "TOPS":
                 self.driver.update_gauges(notice.load)
-                if notice.token == marker:
-                    self._resend_commands()
+                with self.lock:
+                    self._confirm(notice.token)
             case "BANNER":
                 self.log.info("interpreter is up", start=notice.result, age_ms=notice.elapsed_ms)
                 self.driver.interpreter_started(notice.result == "new", int(notice.elapsed_ms * 1000))
                 with self.lock:
-                    self._send({"cmd": "TOP", "token": marker})
+                    self.sync_token = self._send_gauge_request()
             case "SMOKED":
                 smoke = self.smoke_tests.get(notice.token)
                 if smoke is not None:
@@ -260,19 +308,24 @@
                 self.log.warning("interpreter rejected a command", command=notice.result, rpc=notice.req)
                 if notice.result == "APPLY":
                     with self.lock:
-                        self.unacknowledged.pop(notice.req, None)
+                        self.pending.run_ended(notice.req)
                     self.driver.finished(notice.req, Outcome.MOOT, 0, b"")
             case "TRACE":
                 pass
             case _:
                 raise InterpreterProtocolError(f"unknown notice {notice.cmd!r}")
 
-    def _resend_commands(self) -> None:
-        """Sends pending smoke tests and unacknowledged commands; all missed notices were read before."""
-        with self.lock:
-            self.synced = True
-            for token in self.smoke_tests:
-                self._send({"cmd": "SMOKE", "token": token})
-            for lines in self.unacknowledged.values():
-                for line in lines:
-                    self._send_line(line)
+    def _confirm(self, token: str) -> None:
+        """The reply to a request for gauges arrived: the interpreter has read what was written before the request."""
+        number = token.removeprefix("top-")
+        if number.isascii() and number.isdigit():
+            self.pending.confirm(int(number))
+        if token == self.sync_token:  # all missed notices were read before
+            self.synced, self.sync_token = True, ""
+            for smoke_token in self.smoke_tests:
+                self._send({"cmd": "SMOKE", "token": smoke_token})
+            self._send_pending()
+
+
+def _encode(command: dict[str, Any]) -> bytes:
+    return msgspec.json.encode(command) + b"\n"
--- a/tests/test_connection_ends.py
+++ b/tests/test_connection_ends.py
@@ -104,7 +104,7 @@
     driver, clients, control = instance.driver, instance.clients, instance.driver.control
     states = [count for state, count in control.state_counts.items() if state != DONE]
     threads = [thread for thread in threading.enumerate() if "_serve_connection" in thread.name]
-    return not (driver.exchanges or driver.exchange_by_rpc or instance.link.unacknowledged or any(states)
+    return not (driver.exchanges or driver.exchange_by_rpc or instance.link.pending.runs or any(states)
                 or control.memory or clients.connections or threads)
 
 
