The reply to a downstream call is not sent to a run again

RESOLVE names no notice, and it was sent again after a reconnect; if the first one had arrived, the run took the second one for the reply to its next call.

Change: where nothing proves that a RESOLVE arrived, a STUB of the same call, which names it, takes its place if the method may go on without the call; else it is not sent again. At a change of address nothing is uncertain and nothing is sent again.

--- a/hollystage/decisions/recovery/pending_commands.py
+++ b/hollystage/decisions/recovery/pending_commands.py
@@ -7,7 +7,9 @@
 
 - START of an RPC that may run twice is sent again. Any other START is sent again only once its RPC is over: then the
   interpreter starts nothing, and if the first START was lost, it reports that nothing was started.
-- RESUME, SKIP and HALT are sent again: a SKIP names its call, and the RPC of a HALT is answered already.
+- RESUME could be taken for the reply to the run's next downstream call. A SKIP of the same call, which names it,
+  takes its place if the method allows that; else it is not sent again.
+- SKIP and HALT are sent again: a SKIP names its call, and the RPC of a HALT is answered already.
 """
 from __future__ import annotations
 
@@ -41,11 +43,13 @@
 
     Attributes:
         data: The encoded command.
+        substitute: For RESUME, the encoded SKIP of the same call; empty if the call cannot be skipped.
         checkpoint: The last checkpoint before it was written.
     """
 
     kind: CommandKind
     data: bytes
+    substitute: bytes = b""
     delivery: Delivery = Delivery.HELD
     checkpoint: int = 0
 
@@ -63,6 +67,7 @@
     """Numbers of commands that a lost connection may or may not have delivered, by what is done about them."""
 
     repeated: int
+    skipped: int
     withheld: int
 
 
@@ -75,7 +80,7 @@
     (True, True)
     >>> pending.written(start)
     >>> pending.connection_lost()
-    UncertainCommands(repeated=0, withheld=1)
+    UncertainCommands(repeated=0, skipped=0, withheld=1)
     >>> [len(pending.sendable(now)) for now in (1_000_000, 6_000_000)]
     [0, 1]
     """
@@ -122,18 +127,21 @@
 
     def connection_lost(self) -> UncertainCommands:
         """Decides what becomes of the commands that were written to the connection that was lost."""
-        repeated = withheld = 0
+        repeated = skipped = withheld = 0
         for run in self.runs.values():
             for command in run.commands:
                 if command.delivery is not Delivery.WRITTEN:
                     continue
                 command.delivery = Delivery.HELD
-                if command.kind is CommandKind.START and not run.may_repeat:
+                if command.kind is CommandKind.RESUME and command.substitute:
+                    command.kind, command.data = CommandKind.SKIP, command.substitute
+                    skipped += 1
+                elif command.kind is CommandKind.RESUME or command.kind is CommandKind.START and not run.may_repeat:
                     command.delivery = Delivery.WITHHELD
                     withheld += 1
                 else:
                     repeated += 1
-        return UncertainCommands(repeated, withheld)
+        return UncertainCommands(repeated, skipped, withheld)
 
     def sendable(self, now: int) -> list[Command]:
         """Returns the commands that may be written to the present connection, in order."""
--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -411,7 +411,8 @@
         outcome, reply = self.ledger.post(exchange.request_id, limit_us, exchange.pending_call[1],
                                           lambda cancel: self.driver.register_cancel(exchange, cancel))
         if self.driver.call_finished(exchange, outcome, clock() - started_at) and outcome is Outcome.OK:
-            self.link.resolve(exchange.request_id, reply)
+            self.link.resolve(exchange.request_id, exchange.pending_call[0], reply,
+                              exchange.rpc.method.skip_share > 0)
 
     def _is_closed_by_caller(self, connection: Connection) -> bool:
         with self.lock:
--- a/hollystage/service/interpreter.py
+++ b/hollystage/service/interpreter.py
@@ -78,14 +78,18 @@
         """Takes a run off the cores."""
         self._send_run_command(request_id, CommandKind.HALT, {"cmd": "BREAK", "req": request_id})
 
-    def resolve(self, request_id: str, payload: bytes) -> None:
-        """Resumes a run with the reply to its downstream call."""
+    def resolve(self, request_id: str, offset: int, payload: bytes, may_skip: bool) -> None:
+        """Resumes a run with the reply to its downstream call, which the notice at `offset` requested.
+
+        `may_skip`: whether the run may go on without that call.
+        """
         self._send_run_command(request_id, CommandKind.RESUME,
-                               {"cmd": "RESOLVE", "req": request_id, "payload": payload})
+                               {"cmd": "RESOLVE", "req": request_id, "payload": payload},
+                               _stub(request_id, offset) if may_skip else None)
 
     def stub(self, request_id: str, offset: int) -> None:
         """Resumes a run without its downstream call, which the notice at `offset` requested."""
-        self._send_run_command(request_id, CommandKind.SKIP, {"cmd": "STUB", "req": request_id, "offset": offset})
+        self._send_run_command(request_id, CommandKind.SKIP, _stub(request_id, offset))
 
     def request_gauges(self) -> None:
         """Requests the gauges, unless the link is still synchronizing; called at each tick."""
@@ -111,9 +115,10 @@
             self.smoke_tests.pop(token, None)
         return smoke.passed
 
-    def _send_run_command(self, request_id: str, kind: CommandKind, command: dict[str, Any]) -> None:
+    def _send_run_command(self, request_id: str, kind: CommandKind, command: dict[str, Any],
+                          substitute: dict[str, Any] | None = None) -> None:
         """Stores a command of an open run until it is confirmed, and sends it if the link is synchronized."""
-        pending = Command(kind, _encode(command))
+        pending = Command(kind, _encode(command), _encode(substitute) if substitute else b"")
         with self.lock:
             if self.pending.add(request_id, pending) and self.synced:
                 self._send_run_line(pending)
@@ -329,3 +334,7 @@
 
 def _encode(command: dict[str, Any]) -> bytes:
     return msgspec.json.encode(command) + b"\n"
+
+
+def _stub(request_id: str, offset: int) -> dict[str, Any]:
+    return {"cmd": "STUB", "req": request_id, "offset": offset}
--- a/tests/test_interpreter_link.py
+++ b/tests/test_interpreter_link.py
@@ -1,4 +1,4 @@
-"""The interpreter link after a lost connection or a changed address: no second run, no command lost."""
+"""The interpreter link after a lost connection or a changed address: no second run, no wrong reply, nothing lost."""
 import threading
 import time
 
@@ -41,6 +41,14 @@
     harness.interpreter.move(harness)
 
 
+def await_second_sync(interpreter):
+    """Waits until the commands were sent on the second connection, and then the gauges requested."""
+    wait_until(lambda: len(interpreter.commands("CONNECT")) >= 2)
+    names = [command["cmd"] for command in interpreter.received]
+    count = names[:names.index("CONNECT", 1)].count("TOP")
+    wait_until(lambda: len(interpreter.commands("TOP")) >= count + 2)
+
+
 @pytest.mark.parametrize("disturb", [change_address, break_connection])
 @pytest.mark.parametrize("method", ["booking", "order"])
 def test_run_that_ends_during_a_reconnect_is_not_started_again(disturb, method):
@@ -53,6 +61,24 @@
         assert len(harness.interpreter.commands("APPLY")) == 1
 
 
+@pytest.mark.parametrize("disturb, method, stubs", [
+    (change_address, "lookup", []), (change_address, "order", []),
+    (break_connection, "lookup", [1]), (break_connection, "order", [])])
+def test_reply_to_a_call_is_sent_once(disturb, method, stubs):
+    """Guards against a reply that the run takes for that to its next call; a STUB names the call."""
+    with ServiceHarness(MovingInterpreter(auto=False)) as harness:
+        interpreter, caller = harness.interpreter, harness.caller().send(method)
+        request_id, = interpreter.await_runs()
+        interpreter.send_notice("AWAIT", request_id, b"a call")
+        wait_until(lambda: interpreter.commands("RESOLVE"))
+        disturb(harness)
+        await_second_sync(interpreter)
+        assert len(interpreter.commands("RESOLVE")) == 1 and len(interpreter.commands("APPLY")) == 1
+        assert [command["offset"] for command in interpreter.commands("STUB")] == stubs
+        interpreter.end(request_id, b"done")
+        assert caller.receive().body == b"done"
+
+
 def test_lost_start_of_a_keyed_rpc_is_settled_once_the_rpc_is_over():
     """Guards against a run slot and a key that stay taken for good, and against a START while a run may begin."""
     with ServiceHarness(MovingInterpreter(auto=False)) as harness:
--- a/tests/test_pending_commands.py
+++ b/tests/test_pending_commands.py
@@ -8,6 +8,7 @@
     OVER_MARGIN,
     Command,
     CommandKind,
+    Delivery,
     PendingCommands,
 )
 
@@ -15,7 +16,7 @@
 
 
 class Model:
-    """The instance and the interpreter. Run n may repeat if n is odd, and makes n % 3 calls."""
+    """The instance and the interpreter. Run n may repeat if n is odd, skips calls if n % 4 < 2, and makes n % 3."""
 
     def __init__(self, seed, pending):
         self.rng, self.pending, self.now, self.wire, self.next_run = random.Random(seed), pending, 0, [], 0
@@ -30,8 +31,8 @@
         self.pending.written(command)
         self.wire.append((command.kind, *map(int, command.data.split())))
 
-    def send(self, run, kind, call=0):
-        command = Command(kind, b"%d %d" % (run, call))
+    def send(self, run, kind, call=0, **fields):
+        command = Command(kind, b"%d %d" % (run, call), **fields)
         if self.pending.add(run, command) and not self.holding:
             self.write(command)
 
@@ -58,6 +59,8 @@
         elif kind is CommandKind.HALT and run in self.running:
             self.end(run)
         elif waits and (kind is CommandKind.RESUME or kind is CommandKind.SKIP and call == calls):
+            if call != calls:
+                self.faults.append("wrong reply")
             self.running[run] = calls, False
 
     def end(self, run):
@@ -89,7 +92,7 @@
             self.send(run, CommandKind.HALT)
         else:
             self.pending.run_at_call(run)
-            self.send(run, CommandKind.RESUME, call)
+            self.send(run, CommandKind.RESUME, call, substitute=b"%d %d" % (run, call) if run % 4 < 2 else b"")
 
     def break_connection(self):
         self.wire.clear()
@@ -140,6 +143,16 @@
         super().open_run(run_id, True, caller_waits_until)
 
 
+class RepeatsReplies(PendingCommands):
+    def connection_lost(self):
+        replies = [command for run in self.runs.values() for command in run.commands
+                   if command.kind is CommandKind.RESUME]
+        uncertain = super().connection_lost()
+        for command in replies:
+            command.kind, command.delivery = CommandKind.RESUME, Delivery.HELD
+        return uncertain
+
+
 class NeverSettles(PendingCommands):
     def sendable(self, now):
         return super().sendable(0)
@@ -156,7 +169,7 @@
 
 
 @pytest.mark.parametrize("pending_class, fault", [
-    (PendingCommands, None), (RepeatsEveryStart, "second run"),
+    (PendingCommands, None), (RepeatsEveryStart, "second run"), (RepeatsReplies, "wrong reply"),
     (NeverSettles, "run not settled"), (ConfirmsWhatFollows, "run not settled"),
     (ForgetsNothing, "uncertain after the interpreter has read everything")])
 def test_commands_take_effect_once_and_every_run_is_settled(pending_class, fault):
