An instance starts without a ledger where the settings state no dependency

Cause: that deployment has `DependsOn` `none`, the platform hands over no address of a ledger, and Config.ledger had no default. Told from other causes by the log, which has that line only.

Change: the key is required only if the settings name a dependency. Without an address a call counts as a failed connection, which proves that it did not run; it rests as one to a ledger that is down.

--- a/hollystage/service/config.py
+++ b/hollystage/service/config.py
@@ -40,8 +40,8 @@
     listen: str
     vm: str
     control: str
-    ledger: str
     settings: Deployment
+    ledger: str = ""  # required unless the settings state that there is no dependency
     seed: Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F]{1,16}$")] = "0"
     stop_ms: Annotated[float, msgspec.Meta(gt=0)] = 3000
     limits: ProcessLimits = msgspec.field(default_factory=ProcessLimits)
@@ -65,6 +65,12 @@
             raise ConfigError(f"{key}: {text!r} is not an address like 127.0.0.1:6565")
         return host, int(port)
 
+    def ledger_address(self) -> Address | None:
+        """Returns the address of the ledger; None if the deployment has none."""
+        if not self.ledger and self.settings.domain.depends_on == "none":
+            return None
+        return self.address("ledger")
+
 
 def parse(text: bytes, plan: Plan | None = None) -> Config:
     """Combines the platform's JSON with the values of a plan; keys of the JSON take precedence.
@@ -78,8 +84,9 @@
         config = msgspec.convert(from_plan | from_json, Config)
     except msgspec.ValidationError as error:
         raise ConfigError(f"configuration: {error}") from error
-    for key in ("listen", "vm", "control", "ledger"):
+    for key in ("listen", "vm", "control"):
         config.address(key)
+    config.ledger_address()
     names = [profile.name for profile in config.settings.profiles]
     for index, name in enumerate(names):
         if not name or name in names[:index]:
--- a/hollystage/service/instance.py
+++ b/hollystage/service/instance.py
@@ -50,7 +50,7 @@
         self.link = InterpreterLink(config.address("vm"), self.driver, pool, self.counters, log)
         self.driver.interpreter = self.link
         calls = sockets // 8
-        self.ledger = LedgerClient(config.address("ledger"), calls, pool, self.counters, log)
+        self.ledger = LedgerClient(config.ledger_address(), calls, pool, self.counters, log)
         self.health_reporter = HealthReporter(config.address("control"), config.name, self.driver, pool,
                                               self.counters, log)
         names = [profile.name for profile in config.settings.profiles]
@@ -108,7 +108,7 @@
         for key in ADDRESS_KEYS:
             setattr(self.config, key, getattr(config, key))
         self.link.set_address(config.address("vm"))
-        self.ledger.set_address(config.address("ledger"))
+        self.ledger.set_address(config.ledger_address())
         self.health_reporter.set_address(config.address("control"))
         self.counters.add("instance.reloads")
         self.log.info("configuration read anew", taken=applied, kept_until_a_restart=kept)
--- a/hollystage/service/ledger_client.py
+++ b/hollystage/service/ledger_client.py
@@ -27,14 +27,18 @@
 
 
 class LedgerClient:
-    """Makes downstream calls; at most `max_calls` at a time, since each needs a descriptor."""
+    """Makes downstream calls; at most `max_calls` at a time, since each needs a descriptor.
 
-    def __init__(self, address: Address, max_calls: int, pool: BufferPool, counters: Counters, log: Any) -> None:
+    Without an address no call is made; each one counts as a failed connection.
+    """
+
+    def __init__(self, address: Address | None, max_calls: int, pool: BufferPool, counters: Counters,
+                 log: Any) -> None:
         self.address, self.pool, self.counters, self.log = address, pool, counters, log
         self.slots = threading.BoundedSemaphore(max_calls)
 
-    def set_address(self, address: Address) -> None:
-        """Uses another address for later calls."""
+    def set_address(self, address: Address | None) -> None:
+        """Uses another address for later calls; None if there is no ledger."""
         self.address = address
 
     def post(self, request_id: str, limit_us: int, body: bytes, register: RegisterCancel) -> tuple[Outcome, bytes]:
@@ -55,7 +59,9 @@
         try:
             if not register(lambda: _cancel(sock)):
                 return self._count(Outcome.CANCELLED), b""
-            if not self._connect(sock, address, deadline):
+            if address is None or not self._connect(sock, address, deadline):
+                # while the ledger is down, an RPC that retries its call would otherwise use a whole core
+                time.sleep(max(0.0, min(CONNECT_FAILURE_DELAY_S, deadline - time.monotonic())))
                 return self._count(Outcome.CONNECT_FAILED), b""
             headers = {"X-Txn-Ref": request_id, "X-Limit-Ms": str(max(1, limit_us // 1000)), "Connection": "close"}
             sock.sendall(encode_request("POST", "/post", f"{address[0]}:{address[1]}", headers, body))
@@ -82,8 +88,6 @@
             sock.connect(address)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError:
-            # while the ledger is down, an RPC that retries its call would otherwise use a whole core
-            time.sleep(max(0.0, min(CONNECT_FAILURE_DELAY_S, deadline - time.monotonic())))
             return False
         self.counters.add("ledger.connections")
         return True
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -23,6 +23,7 @@
     wait_until,
 )
 
+from hollystage.interface import Outcome
 from hollystage.service.config import parse
 from hollystage.service.driver import clock
 from hollystage.service.http import encode_request
@@ -386,6 +387,21 @@
         assert harness.count("interpreter.links") == 1  # the link stayed open
 
 
+def test_instance_without_a_ledger_serves_where_nothing_is_called():
+    """Guards against a start that fails where the platform names no ledger, as the settings state no dependency."""
+    domain = SETTINGS["Domain"] | {"DependsOn": "none", "CallsOut": 0}
+    harness = ServiceHarness(Interpreter(auto=False), settings=SETTINGS | {"Domain": domain})
+    del harness.json_config["ledger"]
+    with harness:
+        caller = harness.caller().send("order", X_Timeout_Ms="300")
+        request_id, = harness.interpreter.await_runs()
+        harness.instance.reload(harness.config(None))
+        harness.interpreter.send_notice("AWAIT", request_id, b"a call all the same")
+        assert caller.receive().status == 500
+        outcome, _ = harness.instance.ledger.post(request_id, 100_000, b"", lambda cancel: True)
+        assert outcome is Outcome.CONNECT_FAILED  # no call ran, so one may be made again
+
+
 def test_health_check_is_resent_after_a_reconnect():
     with ServiceHarness() as harness:
         wait_until(lambda: harness.instance.link.synced)
@@ -876,6 +892,7 @@
 
 @pytest.mark.parametrize("change, words", [
     ({"listen": None}, "`listen`"), ({"vm": 7}, "`$.vm`"), ({"control": "here"}, "control: 'here'"),
+    ({"ledger": None}, "ledger: ''"),
     ({"ledger": "127.0.0.1:99999"}, "ledger:"), ({"seed": "xyz"}, "`$.seed`"),
     ({"stop_ms": 0}, "`$.stop_ms`"), ({"limits": {"sockets": 5}}, "`$.limits.sockets`"),
     ({"limits": {"memory_mb": "all"}}, "`$.limits.memory_mb`"),
