--- /dev/null
+++ b/review/6/case.py
@@ -0,0 +1,61 @@
+"""Case 6: the ledger refuses connections for some seconds while the plan has pools and a reserve."""
+from __future__ import annotations
+
+import os
+import time
+
+from common import KEYED, METHODS, Case, Interpreter, Stub, run, wait_ready
+
+from hollystage.standins.server import free_address
+from hollystage.standins.services import ControlPlane, FixedLatencyLedger
+
+# as examples/pools.star: adds pools and a reserve for the methods of the platform's JSON
+PLAN = """pool("maps", methods = ["map-extract"], guaranteed = 30%, heir = "sales")
+pool("sales", methods = ["route-plan", "licence-buy"], guaranteed = 30%)
+reserve(running = 5%, memory = 5%, calls = 5%)
+"""
+RATE = 12.0  # RPCs per second, 60% of what the cores can do
+QUIET_S, DOWN_S, AFTER_S = 6.0, 14.0, 10.0
+LOST_SHARE = 0.003  # "break the rule from 3 in 1,000 on"
+
+
+def main(case: Case) -> int:
+    vm = Interpreter(6, {name: row[1] for name, row in METHODS.items()},
+                     frozenset(name for name, row in METHODS.items() if row[4]))
+    ledger, control, listen = FixedLatencyLedger(0.04), ControlPlane(), free_address()
+    process = case.start("n1", HOLLYSTAGE_PLAN=case.path("plan.star", PLAN), PROXY_CONFIG=case.configuration(
+        "n1", listen, vm.address, control.address, ledger.address))
+    wait_ready(listen)
+    stub = Stub(case, listen, vm, 4)
+    begun, next_at, down = time.monotonic(), dict.fromkeys(METHODS, 0.0), False
+    count = 0
+    while (elapsed := time.monotonic() - begun) < QUIET_S + DOWN_S + AFTER_S:
+        if case.trouble and down is not (QUIET_S <= elapsed < QUIET_S + DOWN_S):
+            down = not down
+            case.note("ledger", up=not down)
+            if down:
+                ledger.close()
+            else:
+                ledger.listen()
+        for method, (share, _, _, deadline_s, _) in METHODS.items():
+            if elapsed >= next_at[method]:
+                next_at[method] += 1 / (RATE * share)
+                count += 1
+                body = f"{method}-{count}"
+                stub.send_later(method, body.encode(), deadline_s, key=body if method == KEYED else "")
+        time.sleep(0.005)
+    answers = stub.wait()
+    late = [answer for answer in answers if not answer.in_time]
+    for body, times in sorted(vm.run_counts.items()):
+        case.note("ran", body=body.decode(), times=times)
+    case.note("counts", sent=len(answers), late=len(late), alive=process.poll() is None)
+    broken = [f"{a.body.decode()}: no final answer within {a.due_s:.2f} s; status {a.status} {a.why} after {a.age_s:.2f} s"
+              for a in late] if len(late) >= LOST_SHARE * len(answers) else []
+    if process.poll() is not None:
+        broken.insert(0, f"the instance ended with code {process.returncode}")
+    by_method = {method: sum(a.method == method for a in late) for method in METHODS}
+    return case.finish(broken, f"{len(answers)} sent, without a final answer in time: {by_method}")
+
+
+if __name__ == "__main__":
+    run(main, os.path.dirname(os.path.abspath(__file__)))
