--- a/review/6/case.py
+++ b/review/6/case.py
@@ -49,7 +49,7 @@
     for body, times in sorted(vm.run_counts.items()):
         case.note("ran", body=body.decode(), times=times)
     case.note("counts", sent=len(answers), late=len(late), alive=process.poll() is None)
-    broken = [f"{a.body.decode()}: no final answer within {a.due_s:.2f} s; status {a.status} {a.why} after {a.age_s:.2f} s"
+    broken = [f"{a.body.decode()}: no final answer within {a.due_s:.2f} s; {a.status} {a.why} after {a.age_s:.2f} s"
               for a in late] if len(late) >= LOST_SHARE * len(answers) else []
     if process.poll() is not None:
         broken.insert(0, f"the instance ended with code {process.returncode}")
--- a/review/6/common.py
+++ b/review/6/common.py
@@ -41,7 +41,8 @@
     "licence-buy": (0.20, 0.16, 1.6, 5.3, True)}
 KEYED, WINDOW_S, GRACE_S = "licence-buy", 15.951, 0.06
 SETTINGS: dict[str, Any] = {
-    "Areas": ["nbo-dc1"], "Callers": {"MarksRetry": False}, "Family": "server", "PeersTotal": 12, "WorthBy": "request",
+    "Areas": ["nbo-dc1"], "Callers": {"MarksRetry": False}, "Family": "server", "PeersTotal": 12,
+    "WorthBy": "request",
     "Domain": {"CallsOut": 8.0, "CancelSeen": True, "ClassCalls": [True, False, True],
                "ClassSkipWorth": [0.6, 0.0, 0.0], "Cold": False, "Cores": 6, "DepWindowUs": 5000000,
                "DependsOn": "shared", "Gauges": ["cpu_busy", "runnable"], "Halt": "abort", "HeardForUs": 1000000,
