--- a/review/6/case.py
+++ b/review/6/case.py
@@ -4,9 +4,8 @@
 import os
 import time
 
-from common import KEYED, METHODS, Case, Interpreter, Stub, run, wait_ready
+from common import KEYED, METHODS, Case, Interpreter, Stub, instance_address, run, wait_ready
 
-from hollystage.standins.server import free_address
 from hollystage.standins.services import ControlPlane, FixedLatencyLedger
 
 # as examples/pools.star: adds pools and a reserve for the methods of the platform's JSON
@@ -22,7 +21,7 @@
 def main(case: Case) -> int:
     vm = Interpreter(6, {name: row[1] for name, row in METHODS.items()},
                      frozenset(name for name, row in METHODS.items() if row[4]))
-    ledger, control, listen = FixedLatencyLedger(0.04), ControlPlane(), free_address()
+    ledger, control, listen = FixedLatencyLedger(0.04), ControlPlane(), instance_address(0)
     process = case.start("n1", HOLLYSTAGE_PLAN=case.path("plan.star", PLAN), PROXY_CONFIG=case.configuration(
         "n1", listen, vm.address, control.address, ledger.address))
     wait_ready(listen)
--- a/review/6/common.py
+++ b/review/6/common.py
@@ -58,6 +58,13 @@
     "Tenants": [], "Tier": 0, "Zone": 0}
 
 
+def instance_address(number: int) -> Address:
+    """Returns a free address for an instance, on a loopback host that no stand-in uses: none can take it before."""
+    with socket.create_server((f"127.0.0.{10 + number}", 0)) as sock:
+        name = sock.getsockname()
+        return name[0], name[1]
+
+
 class CannotRunError(Exception):
     """The case could not be run; says nothing about the rule."""
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,10 +11,10 @@
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "6"))
 
-from common import Case, Interpreter, Stub, run, text, wait_ready  # noqa: E402
+from common import Case, Interpreter, Stub, instance_address, run, text, wait_ready  # noqa: E402
 
 from hollystage.service.http import Request  # noqa: E402
-from hollystage.standins.server import HttpServer, free_address, reply  # noqa: E402
+from hollystage.standins.server import HttpServer, reply  # noqa: E402
 from hollystage.standins.services import ControlPlane  # noqa: E402
 
 NAMES = ["n1", "n2", "n3"]
@@ -71,10 +71,10 @@
 def main(case: Case) -> int:
     ledger, control = Ledger(case), ControlPlane()
     key = case.path("fleet.key", secrets.token_bytes(32))
-    binds = {name: text(free_address()) for name in NAMES}
+    binds = {name: text(instance_address(number)) for number, name in enumerate(NAMES)}
     stubs, processes, plans = {}, {}, {}
     for number, name in enumerate(NAMES):
-        vm, listen = Interpreter(2, WORK_S, frozenset(WORK_S), seed=number), free_address()
+        vm, listen = Interpreter(2, WORK_S, frozenset(WORK_S), seed=number), instance_address(3 + number)
         peers = ", ".join(f'"{address}"' for other, address in binds.items() if other != name)
         plans[name] = PLAN.format(name=name, seed=f"{number + 7:x}", listen=text(listen), vm=text(vm.address),
                                   control=text(control.address), ledger=text(ledger.address), bind=binds[name],
