An RPC is put back into a queue once: queues no longer double while the ledger is down

Cause: Control._dispatch put an RPC whose further call the retry budget refuses back with _enqueue, which puts an RPC of a cheap method into two queues, while its entry in the other one was still valid. Seen in the module alone: the entries doubled with each dispatch. Related: an entry was valid by the RPC's state alone, so entries of an earlier wait became valid again, and a queued RPC replaced by a repeat left its entry behind the head (1,000 repeats, 1,000 entries, all read by each arrival).

Change: a refused entry goes back to the queue it was taken from; an RPC knows its latest entry, others are out of date and are removed once they may be more than half of a queue. Why it works: each queue has one valid entry of an RPC, and its length is at most twice the RPCs in its state and 64.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -386,27 +386,36 @@
                 if rpc.method.skip_share and rpc.method.criticality * (1 - rpc.method.skip_share) < needed:
                     self._resume(rpc, SKIP)
 
-    def _dispatch(self) -> None:
-        """Makes calls and starts runs as far as limits, memory and pools allow."""
-        while self.lingering_calls and self.lingering_calls[0] <= self.now:
-            heappop(self.lingering_calls)
-        deferred: list[Rpc] = []
+    def _make_waiting_calls(self) -> None:
+        """Lets waiting RPCs call, in the order of their tags, as far as the limits and retry budgets allow."""
+        refused: set[Rpc] = set()  # their retry budget does not allow the call
+        set_aside: list[tuple[RpcQueue, QueueEntry]] = []
         max_calls = self.pacer.allowed(self.call_limit.value, self.now)
         self._skip_less_valuable_calls(max_calls)
         while self.now >= self.next_call_at and (
                 queue := self._next_queue(self.call_queues, WAITING, max_calls,
                                           self.state_counts[CALLING] + len(self.lingering_calls))):
-            rpc = heappop(queue)[2]
-            if self.pools is None or self.pools.may_call(rpc, self.now):
+            entry = heappop(queue)
+            rpc = entry[2]
+            if rpc not in refused and (self.pools is None or self.pools.may_call(rpc, self.now)):
                 self._resume(rpc, GO)
-            else:
-                deferred.append(rpc)
-        for rpc in deferred:  # retries of calls that the retry budget does not allow
+                continue
             rpc.uses_reserve = False
             if rpc.method.skip_share > 0:
                 self._resume(rpc, SKIP)
             else:
-                self._enqueue(self.call_queues, rpc)
+                # each entry goes back to the queue that it was taken from: put in anew, an RPC of two queues
+                # would have more entries after each dispatch
+                refused.add(rpc)
+                set_aside.append((queue, entry))
+        for queue, entry in set_aside:
+            heappush(queue, entry)
+
+    def _dispatch(self) -> None:
+        """Makes calls and starts runs as far as limits, memory and pools allow."""
+        while self.lingering_calls and self.lingering_calls[0] <= self.now:
+            heappop(self.lingering_calls)
+        self._make_waiting_calls()
         self.pacer.in_flight = self.state_counts[CALLING] + len(self.lingering_calls)
         while not self.cores_hung and (queue := self._next_queue(
                 self.run_queues, QUEUED, self._effective_run_limit(), self.state_counts[RUNNING])):
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -250,6 +250,7 @@
         answered: Whether its answer was decided.
         state_since: Time of the last change of state.
         off_core_time: Time since its start that it was waiting for a call or calling, microseconds.
+        queue_entry: Sequence number of its latest entry in a queue; entries with another number are out of date.
         pool_ref: Its pool, if pools are configured.
         uses_reserve: Whether its present slot on the cores or at a call belongs to the reserve.
         calls_made: Number of downstream calls.
@@ -275,6 +276,7 @@
     answered: bool = False
     state_since: int = 0
     off_core_time: int = 0
+    queue_entry: int = 0
     pool_ref: PoolRef | None = None
     uses_reserve: bool = False
     calls_made: int = 0
--- a/hollystage/policy/buckets.py
+++ b/hollystage/policy/buckets.py
@@ -50,7 +50,8 @@
 # states of an RPC; the strings appear in logs
 QUEUED, RUNNING, CALLING, WAITING, JOINED, DONE = "held running calling waiting joined over".split()
 
-RpcQueue = list[tuple[int, int, Rpc]]  # a heap of (time or finish tag, sequence number, RPC)
+QueueEntry = tuple[int, int, Rpc]  # time or finish tag, sequence number, RPC
+RpcQueue = list[QueueEntry]  # a heap
 
 
 class DecayingSum:
--- a/hollystage/policy/queues.py
+++ b/hollystage/policy/queues.py
@@ -1,7 +1,7 @@
 """State of the decision module, its queues, and the transitions of an RPC between states."""
 from __future__ import annotations
 
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from typing import Any
 
 from ..decisions.calls.limits import make_limit
@@ -15,6 +15,7 @@
 # default bounds of the call limit, as shares of the concurrent calls that this instance may make
 MIN_LIMIT_SHARE = 0.1
 MAX_LIMIT_SHARE = 0.9
+MIN_OUTDATED_ENTRIES = 64  # of a heap, before they are removed together
 # states that the pools track
 POOL_STATES = {RUNNING: ON_CORES, WAITING: AWAITING_CALL, CALLING: IN_CALL}
 
@@ -118,9 +119,15 @@
             rpc.lifecycle, rpc.answered, rpc.earlier = None, True, None
             self._set_state(rpc, DONE)
 
+    @staticmethod
+    def _is_current(entry: QueueEntry, state: str) -> bool:
+        """Whether the RPC of an entry is in `state` because of this entry, and not answered."""
+        _, sequence, rpc = entry
+        return rpc.state == state and rpc.queue_entry == sequence and not rpc.answered
+
     def _head(self, queue: RpcQueue, state: str) -> int | None:
-        """Smallest finish tag of the queue, after removing RPCs that are answered or no longer in `state`."""
-        while queue and (queue[0][2].state != state or queue[0][2].answered):
+        """Smallest finish tag of the queue, after removing the entries before it that are out of date."""
+        while queue and not self._is_current(queue[0], state):
             heappop(queue)
         return queue[0][0] if queue else None
 
@@ -137,8 +144,25 @@
         return queues[chosen]
 
     def _enqueue(self, queues: list[RpcQueue], rpc: Rpc) -> None:
-        """Puts an RPC into the queue of its pool and, if its method is cheap, also into the last queue."""
+        """Puts an RPC into the queue of its pool and, if its method is cheap, also into the last queue.
+
+        Its earlier entries, which may still be in these queues, are then out of date.
+        """
+        self.sequence += 1
+        rpc.queue_entry = self.sequence
         number = rpc.pool_ref.find() if rpc.pool_ref is not None and self.pools is not None else 0
-        self._push(queues[number], rpc.tag, rpc)
+        chosen = [queues[number]]
         if self.pools is not None and self.pools.is_cheap(self.method_numbers[rpc.method]):
-            self._push(queues[-1], rpc.tag, rpc)
+            chosen.append(queues[-1])
+        for queue in chosen:
+            self._drop_outdated(queue, rpc.state)
+            heappush(queue, (rpc.tag, rpc.queue_entry, rpc))
+
+    def _drop_outdated(self, queue: RpcQueue, state: str) -> None:
+        """Removes the entries that are out of date once they may be more than half of the queue.
+
+        Entries behind the head would otherwise stay until the head is taken, and each arrival reads all of them.
+        """
+        if len(queue) > 2 * self.state_counts[state] + MIN_OUTDATED_ENTRIES:
+            queue[:] = [entry for entry in queue if self._is_current(entry, state)]
+            heapify(queue)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -153,9 +153,9 @@
 @pytest.mark.parametrize("name", UNREADABLE_HEADS)
 def test_unreadable_head_costs_no_more_than_its_length(name):
     # guards against one header line of a bad client that stopped the whole process for minutes (review/6)
-    data = UNREADABLE_HEADS[name]
-    response = data.replace(b"POST /svc/lookup HTTP/1.1", b"HTTP/1.1 200 OK")
-    for read, data in ((read_request, data), (read_response, response)):
+    request = UNREADABLE_HEADS[name]
+    response = request.replace(b"POST /svc/lookup HTTP/1.1", b"HTTP/1.1 200 OK")
+    for read, data in ((read_request, request), (read_response, response)):
         started_at = time.process_time()
         with pytest.raises(HttpError) as error:
             parse(data, read, timeout=60.0)
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -295,6 +295,42 @@
     assert harness.did(rpcs[1])[-1] is ActionKind.SKIP
 
 
+# Queues: an RPC whose call its retry budget refuses, entries that are out of date, pools that come and go
+
+def test_call_that_the_retry_budget_refuses_stays_once_in_each_queue():
+    # guards against queues that doubled with each event until one event took seconds (review/8)
+    harness = ControlHarness(booking(), calls_out=20.0, pooling=PoolConfig(
+        (Pool("p", 1.0, retry_ratio=0.0, min_retries_per_s=0.0),), (0,), Reserve(0.5, 0.0, 0.5)))
+    control = harness.control
+    harness.end(harness.send())
+    harness.advance(SECOND)  # the reserve is now for the only method, so an RPC is in two queues
+    rpc = harness.send()
+    harness.at_call(rpc)
+    harness.end_call(rpc, Outcome.CONNECT_FAILED)
+    budget, = control.pools.retry_budgets
+    refused = budget.refused
+    for _ in range(12):
+        harness.flush()
+    assert [[entry[2] for entry in queue] for queue in control.call_queues] == [[rpc], [rpc]]
+    assert budget.refused - refused == 12  # once for each attempt to call
+    budget.balance = 1.0
+    assert [action.kind for action in harness.flush()] == [ActionKind.CALL]
+    harness.end_call(rpc, Outcome.OK)
+    harness.end(rpc)
+    assert control.pools.in_progress == [0] and control.pools.calls.usage[0].in_use == 0
+
+
+def test_rpc_that_is_replaced_again_and_again_leaves_no_entries_in_the_queue():
+    # guards against a caller that repeats a queued RPC at full speed: each repeat left an entry for arrivals to read
+    harness = ControlHarness(booking())
+    harness.fill()
+    ahead, rpc = harness.send(), harness.send()
+    for _ in range(1000):
+        rpc = harness.send(earlier=rpc)
+        assert len(harness.control.run_queues[0]) <= 100
+    assert ahead.state == rpc.state == "held" and harness.control.state_counts["held"] == 2
+
+
 # Simulations
 
 POOLING = PoolConfig((Pool("lookups", 0.3), Pool("holds", 0.3)), (0, 1), Reserve(0.05, 0.05, 0.05))
