An RPC without a pool gets one, and is counted there, when it enters a queue

Cause: the reference to a removed pool is -1, which _enqueue used as an index: the reserve's queue. update_pools gave a pool to waiting RPCs without counting them in it, so Pools.in_progress fell below 0 at their end.

Change: Queues._pool_number assigns the pool whenever an RPC enters a queue, and Pools.adopt counts it in its state. Why it works: an RPC enters a queue before each use of a slot, so no RPC waits or calls outside the pools' counts.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -10,7 +10,7 @@
 from heapq import heappop, heappush
 
 from .decisions.calls.limits import CallResult
-from .decisions.calls.pools import NO_POOL, Pools
+from .decisions.calls.pools import Pools
 from .interface import Action, ActionKind, LoadSignal, MethodKind, Outcome, PoolConfig, Rpc, Settings, Tenant
 from .policy.buckets import *
 from .policy.lifecycle import Lifecycle
@@ -156,8 +156,6 @@
         self.run_queues, self.call_queues = [[] for _ in range(count)], [[] for _ in range(count)]
         for rpc in {rpc: None for queue in queues for _, _, rpc in queue}:
             if rpc.state in (QUEUED, WAITING):
-                if self.pools is not None and (rpc.pool_ref is None or rpc.pool_ref.find() == NO_POOL):
-                    rpc.pool_ref = self.pools.pool_ref(self.method_numbers[rpc.method])
                 self._enqueue(self.run_queues if rpc.state == QUEUED else self.call_queues, rpc)
 
     def start_drain(self, time_left: int, now: int) -> None:
--- a/hollystage/decisions/calls/pools.py
+++ b/hollystage/decisions/calls/pools.py
@@ -272,6 +272,11 @@
         return self.pool_refs[
             self.pooling.pool_of_method[method] if method < len(self.pooling.pool_of_method) else -1]
 
+    def adopt(self, rpc: Rpc, method: int, state: int, now: int) -> None:
+        """Assigns an RPC without a pool to that of its method and counts what it uses in `state`."""
+        rpc.pool_ref = self.pool_ref(method)
+        self.on_move(rpc, NOT_STARTED, state, now)
+
     def is_cheap(self, method: int) -> bool:
         """Returns whether the method may use the reserve."""
         return self.pooling.reserve.running > 0 and method in self.cheapest.methods
--- a/hollystage/policy/queues.py
+++ b/hollystage/policy/queues.py
@@ -150,14 +150,22 @@
         """
         self.sequence += 1
         rpc.queue_entry = self.sequence
-        number = rpc.pool_ref.find() if rpc.pool_ref is not None and self.pools is not None else 0
-        chosen = [queues[number]]
+        chosen = [queues[self._pool_number(rpc)]]
         if self.pools is not None and self.pools.is_cheap(self.method_numbers[rpc.method]):
             chosen.append(queues[-1])
         for queue in chosen:
             self._drop_outdated(queue, rpc.state)
             heappush(queue, (rpc.tag, rpc.queue_entry, rpc))
 
+    def _pool_number(self, rpc: Rpc) -> int:
+        """Number of the RPC's pool, 0 without pools. Assigns a pool if it has none, or if its pool was removed."""
+        if self.pools is None:
+            return 0
+        if rpc.pool_ref is None or rpc.pool_ref.find() == NO_POOL:
+            self.pools.adopt(rpc, self.method_numbers[rpc.method], POOL_STATES.get(rpc.state, NOT_STARTED), self.now)
+        assert rpc.pool_ref is not None
+        return rpc.pool_ref.find()
+
     def _drop_outdated(self, queue: RpcQueue, state: str) -> None:
         """Removes the entries that are out of date once they may be more than half of the queue.
 
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -1,4 +1,6 @@
 """Pools, the reserve, retry budgets and call limits: alone, in the decision module, in simulations, in a service."""
+import random
+
 import pytest
 from helpers import (
     SECOND,
@@ -18,7 +20,7 @@
 from hollystage.decisions.calls.pools import NO_POOL, CheapestMethods, SlotAllocator
 from hollystage.decisions.calls.retry_budget import RetryBudget
 from hollystage.decisions.stall_detector import StallDetector
-from hollystage.interface import ActionKind, CallLimitConfig, Outcome, Pool, PoolConfig, Reserve
+from hollystage.interface import ActionKind, CallLimitConfig, Halt, Outcome, Pool, PoolConfig, Reserve
 from hollystage.language.sources import MemoryFolder
 from hollystage.plan.read import read
 from hollystage.standins.scenes import SceneSimulation, default_demands
@@ -331,6 +333,65 @@
     assert ahead.state == rpc.state == "held" and harness.control.state_counts["held"] == 2
 
 
+POOLINGS = (None, POOLED["pooling"], PoolConfig((Pool("writes", 1.0),), (0, 0), Reserve(0.1, 0.1, 0.1)),
+            PoolConfig(
+                (Pool("reads", 0.4, heir="writes"), Pool("writes", 0.6, 0.8, False)), (0, 1), Reserve(0.2, 0, 0.2)))
+
+
+def check_queues_and_pools(harness, rpcs):
+    """Each RPC is in the queue of its pool, few entries are out of date, and the pools count what there is."""
+    control = harness.control
+    for queues, state in ((control.run_queues, "held"), (control.call_queues, "waiting")):
+        assert all(len(queue) <= 2 * control.state_counts[state] + 65 for queue in queues)
+        for rpc in rpcs:
+            if rpc.state == state and not rpc.answered:
+                number = rpc.pool_ref.find() if control.pools is not None else 0
+                assert any(entry[2] is rpc for entry in queues[number])
+    if control.pools is not None:
+        started = [rpc.pool_ref.find() for rpc in rpcs
+                   if rpc.pool_ref is not None and rpc.state in ("running", "waiting", "calling")]
+        assert control.pools.in_progress == [started.count(number) for number in range(control.pools.count)]
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_queues_and_pools_agree_with_the_rpcs_after_any_events(seed):
+    # guards against counts below 0 and RPCs that never get their call, after pools were removed and added again
+    rng = random.Random(seed)
+    harness = pooled_harness(pooling=rng.choice(POOLINGS), calls_out=4.0, halt=Halt.NONE)
+    rpcs = []
+    for _ in range(250):
+        started = [rpc for rpc in rpcs if rpc.state in ("running", "calling")]
+        rpc = rng.choice(started) if started else None
+        match rng.choice(("send", "send", "run", "run", "run", "tick", "leave", "pools")):
+            case "send":
+                rpcs.append(harness.send(rng.choice(harness.methods)))
+            case "run" if rpc is not None and rpc.state == "calling":
+                harness.end_call(rpc, rng.choice((OK, OK, Outcome.CONNECT_FAILED, Outcome.TIMEOUT)))
+            case "run" if rpc is not None:
+                harness.at_call(rpc) if rng.random() < 0.5 and not rpc.answered else harness.end(rpc)
+            case "tick":
+                harness.advance(rng.choice((1, 4, 40)) * SECOND // 20)
+            case "leave" if rpcs:
+                harness.disconnect(rng.choice(rpcs))
+            case "pools":
+                harness.control.update_pools(rng.choice(POOLINGS), harness.now)
+                harness.flush()
+        check_queues_and_pools(harness, rpcs)
+
+
+def test_rpc_that_runs_while_pools_are_removed_and_added_gets_its_call():
+    # guards against an RPC whose reference to a removed pool was taken for the number of the reserve's queue
+    harness = pooled_harness(calls_out=20.0)
+    rpc = harness.send(harness.methods[0])
+    harness.control.update_pools(None, harness.now)
+    harness.control.update_pools(POOLED["pooling"], harness.now)
+    harness.at_call(rpc)
+    assert harness.did(rpc)[-1] is ActionKind.CALL and harness.control.pools.in_progress[0] == 1
+    harness.end_call(rpc, OK)
+    harness.end(rpc)
+    assert not any(harness.control.pools.in_progress)
+
+
 # Simulations
 
 POOLING = PoolConfig((Pool("lookups", 0.3), Pool("holds", 0.3)), (0, 1), Reserve(0.05, 0.05, 0.05))
