RPCs that are over leave the due queue: memory no longer grows with each rejection

Cause: each RPC, also a rejected one, stayed in the queue by due time until then, and the caller chooses the due time, up to ten deadlines. Keys of replaced RPCs stayed among the expiries of the module and of the idempotency table for the method's window.

Change: decisions/heaps.py removes outdated entries together before they are most of a heap; all heaps of RPCs and keys use it. Why it works: a heap is at most twice what is open and 64 entries.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -89,7 +89,7 @@
             client.deltas[rpc.level - 1] * (self._first_class_factor(client) if rpc.level == 1 else 1))
         if rpc.promised:
             rpc.tag = read_at + (rpc.tag - read_at) // 4  # capacity is reserved for it: ahead of its class
-        self._push(self.due_queue, rpc.due, rpc)
+        self._push_due(rpc)
         rpc.pool_ref = self.pools.pool_ref(self.method_numbers[method]) if self.pools is not None else None
         rpc.lifecycle = self._run(rpc)
         self._resume(rpc, None)
--- a/hollystage/policy/lifecycle.py
+++ b/hollystage/policy/lifecycle.py
@@ -35,8 +35,7 @@
             self.live_keys.discard(rpc.earlier)
             self._resume(rpc.earlier, DROP)
         if keyed:
-            self.live_keys.add(rpc)
-            self._push(self.key_expiries, self.now + method.window, rpc)
+            self._remember_key(rpc)
             yield Action(ActionKind.KEEP, rpc, method.window)
         self._set_state(rpc, QUEUED)
         self._enqueue(self.run_queues, rpc)
--- a/hollystage/policy/queues.py
+++ b/hollystage/policy/queues.py
@@ -1,12 +1,13 @@
 """State of the decision module, its queues, and the transitions of an RPC between states."""
 from __future__ import annotations
 
-from heapq import heapify, heappop, heappush
+from heapq import heappop, heappush
 from typing import Any
 
 from ..decisions.calls.limits import make_limit
 from ..decisions.calls.pacing import Pacer
 from ..decisions.calls.pools import AWAITING_CALL, IN_CALL, NO_POOL, NOT_STARTED, ON_CORES, Pools
+from ..decisions.heaps import drop_outdated
 from ..decisions.recovery.retry_calendar import RetryCalendar
 from ..decisions.stall_detector import StallDetector
 from ..interface import Action, Method, Rpc, Settings, Tenant
@@ -15,7 +16,6 @@
 # default bounds of the call limit, as shares of the concurrent calls that this instance may make
 MIN_LIMIT_SHARE = 0.1
 MAX_LIMIT_SHARE = 0.9
-MIN_OUTDATED_ENTRIES = 64  # of a heap, before they are removed together
 # states that the pools track
 POOL_STATES = {RUNNING: ON_CORES, WAITING: AWAITING_CALL, CALLING: IN_CALL}
 
@@ -26,7 +26,7 @@
     def __init__(self, settings: Settings, now: int) -> None:
         self.settings, self.started_at, self.now = settings, now, now
         self.actions: list[Action] = []
-        self.due_queue: RpcQueue = []  # all RPCs by due time
+        self.due_queue: RpcQueue = []  # all RPCs that are not over by due time
         self.key_expiries: RpcQueue = []  # RPCs by the time when their idempotency key is forgotten
         self.method_numbers = {method: number for number, method in enumerate(settings.methods)}
         self.pools: Pools | None = None
@@ -94,6 +94,18 @@
                 rpc, POOL_STATES.get(rpc.state, NOT_STARTED), POOL_STATES.get(state, NOT_STARTED), self.now)
         rpc.state, rpc.state_since = state, self.now
 
+    def _push_due(self, rpc: Rpc) -> None:
+        """Puts an RPC into the queue by due time."""
+        not_over = sum(self.state_counts.values()) - self.state_counts[DONE]
+        drop_outdated(self.due_queue, not_over, lambda entry: entry[2].state != DONE)
+        self._push(self.due_queue, rpc.due, rpc)
+
+    def _remember_key(self, rpc: Rpc) -> None:
+        """Counts the idempotency key of an RPC for the window of its method."""
+        self.live_keys.add(rpc)
+        drop_outdated(self.key_expiries, len(self.live_keys), lambda entry: entry[2] in self.live_keys)
+        self._push(self.key_expiries, self.now + rpc.method.window, rpc)
+
     def _push(self, queue: RpcQueue, key: int, rpc: Rpc) -> None:
         """Puts an RPC on a heap with the key `key`; RPCs with equal keys keep their order of insertion."""
         self.sequence += 1
@@ -146,7 +158,8 @@
     def _enqueue(self, queues: list[RpcQueue], rpc: Rpc) -> None:
         """Puts an RPC into the queue of its pool and, if its method is cheap, also into the last queue.
 
-        Its earlier entries, which may still be in these queues, are then out of date.
+        Its earlier entries, which may still be in these queues, are then out of date. Behind the head they would
+        stay until the head is taken, and each arrival reads all of them.
         """
         self.sequence += 1
         rpc.queue_entry = self.sequence
@@ -154,7 +167,7 @@
         if self.pools is not None and self.pools.is_cheap(self.method_numbers[rpc.method]):
             chosen.append(queues[-1])
         for queue in chosen:
-            self._drop_outdated(queue, rpc.state)
+            drop_outdated(queue, self.state_counts[rpc.state], lambda entry: self._is_current(entry, rpc.state))
             heappush(queue, (rpc.tag, rpc.queue_entry, rpc))
 
     def _pool_number(self, rpc: Rpc) -> int:
@@ -165,12 +178,3 @@
             self.pools.adopt(rpc, self.method_numbers[rpc.method], POOL_STATES.get(rpc.state, NOT_STARTED), self.now)
         assert rpc.pool_ref is not None
         return rpc.pool_ref.find()
-
-    def _drop_outdated(self, queue: RpcQueue, state: str) -> None:
-        """Removes the entries that are out of date once they may be more than half of the queue.
-
-        Entries behind the head would otherwise stay until the head is taken, and each arrival reads all of them.
-        """
-        if len(queue) > 2 * self.state_counts[state] + MIN_OUTDATED_ENTRIES:
-            queue[:] = [entry for entry in queue if self._is_current(entry, state)]
-            heapify(queue)
--- a/hollystage/service/idempotency.py
+++ b/hollystage/service/idempotency.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 
+from ..decisions.heaps import drop_outdated
 from ..interface import Outcome
 from .exchange import Exchange, IdempotencyKey, RunResult
 
@@ -18,6 +19,7 @@
 
     exchange: Exchange
     expires_at: int
+    expiry_number: int = 0  # of its latest row among the expiries; its earlier rows are out of date
     result: RunResult | None = None
     waiters: list[Exchange] = field(default_factory=list)
 
@@ -42,9 +44,8 @@
         if exchange.idempotency_key is None:
             return
         expires_at = now + window + self.extra_retention
-        self.entries[exchange.idempotency_key] = Entry(exchange, expires_at)
-        self.sequence += 1
-        heappush(self.expiries, (expires_at, self.sequence, exchange.idempotency_key))
+        self.entries[exchange.idempotency_key] = entry = Entry(exchange, expires_at)
+        self._push_expiry(entry, exchange.idempotency_key)
 
     def remove(self, exchange: Exchange) -> None:
         """Removes the entry of this RPC, if its key still refers to it."""
@@ -89,11 +90,21 @@
                 continue
             if entry.exchange.is_open:  # the entry of a run that hangs is kept until the run ends
                 entry.expires_at = now + self.extra_retention
-                self.sequence += 1
-                heappush(self.expiries, (entry.expires_at, self.sequence, key))
+                self._push_expiry(entry, key)
             else:
                 del self.entries[key]
 
+    def _push_expiry(self, entry: Entry, key: IdempotencyKey) -> None:
+        drop_outdated(self.expiries, len(self.entries), self._is_latest_expiry)
+        self.sequence += 1
+        entry.expiry_number = self.sequence
+        heappush(self.expiries, (entry.expires_at, self.sequence, key))
+
+    def _is_latest_expiry(self, expiry: tuple[int, int, IdempotencyKey]) -> bool:
+        _, number, key = expiry
+        entry = self.entries.get(key)
+        return entry is not None and entry.expiry_number == number
+
     def _entry_of(self, exchange: Exchange) -> Entry | None:
         entry = self.entries.get(exchange.idempotency_key) if exchange.idempotency_key else None
         return entry if entry and entry.exchange is exchange else None
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -3,9 +3,13 @@
 import time
 
 import pytest
-from helpers import Caller
+from helpers import SECOND, Caller, ControlHarness, booking, lookup
 from test_service import KEY, RPC, process  # noqa: F401 (a fixture)
 
+from hollystage.interface import ActionKind, Method, MethodKind
+from hollystage.service.exchange import Exchange
+from hollystage.service.idempotency import IdempotencyTable
+
 MAX_CLIENTS = 704  # of 1,024 descriptors; see connection.max_client_connections
 HALF_OF_THE_LIMIT_KB = 192 * 1024 // 2
 
@@ -52,3 +56,40 @@
     # 408: its body did not come; 400: its connection was evicted meanwhile
     assert {client.receive().status for client in clients} <= {400, 408, 431}
     assert peak_memory_kb(started) < HALF_OF_THE_LIMIT_KB
+
+
+# One client at full speed, in the decision module and its tables
+
+ORDER = Method(MethodKind.NON_IDEMPOTENT, 2.0, 2 * SECOND, 6 * SECOND)
+
+
+@pytest.mark.parametrize("method", [lookup(), booking(), ORDER], ids=["lookup", "booking", "order"])
+def test_rejected_rpcs_leave_nothing_in_the_decision_module(method):
+    # guards against memory that grew with each rejected RPC until its due time, which its caller chooses
+    harness = ControlHarness(method)
+    harness.fill()
+    for number in range(5000):
+        rpc = harness.send(timeout=-1, caller=number)
+        assert harness.did(rpc) == [ActionKind.REJECT] and len(harness.actions) < 10_000
+        harness.actions.clear()
+    for number in range(5000):  # no time for one more run
+        rpc = harness.send(timeout=60 * SECOND, unread_time=59 * SECOND, caller=number)
+        harness.actions.clear()
+    control = harness.control
+    assert len(control.due_queue) <= 100 and len(control.last_seen) <= 4097 and len(control.clients) == 1
+
+
+def test_keys_of_rpcs_that_were_replaced_leave_nothing_behind():
+    # guards against a caller that repeats a queued RPC at full speed: each one was remembered for its window
+    harness = ControlHarness(booking(window=3600 * SECOND))
+    harness.fill()
+    rpc, table = harness.send(), IdempotencyTable(0)
+    for _ in range(5000):
+        rpc = harness.send(earlier=rpc)
+        harness.actions.clear()
+    assert len(harness.control.key_expiries) <= 100 and len(harness.control.due_queue) <= 100
+    exchange = Exchange(rpc, "0123456789abcdef", ("booking", "key"), b"")
+    for _ in range(5000):
+        table.add(exchange, 3600 * SECOND, harness.now)
+        table.remove(exchange)
+    assert len(table.expiries) <= 100
