An RPC on a kept connection counts as one of a returning caller, whatever its number

Cause: the idle limit of all connections follows the share of RPCs whose caller number was seen recently, and one fast client with new numbers outweighs all others: 20 s become 10 ms, and requests cross the closes.

Change: the adapter tells whether the connection has carried an RPC before; then it counts as returning. Why it works: the mean is to tell whether kept connections are used again, and this one was.

Test: failed before (10 ms), passes now.

--- a/hollystage/control.py
+++ b/hollystage/control.py
@@ -73,8 +73,9 @@
             self._note_progress()  # so that cores that hang while reading are detected too
         self.rejections.add(0, now)
         self.redirects.add(0, now)
-        self.returning_callers.add(
-            now - self.last_seen.get(rpc.caller, -self.settings.max_idle) < self.settings.max_idle, now)
+        # an RPC on a connection that was kept counts under whatever number its caller gives itself
+        seen_recently = now - self.last_seen.get(rpc.caller, -self.settings.max_idle) < self.settings.max_idle
+        self.returning_callers.add(rpc.kept_connection or seen_recently, now)
         if len(self.last_seen) > MAX_REMEMBERED_CALLERS:
             self.last_seen.clear()  # bounds the memory where callers reconnect under new numbers
         self.last_seen[rpc.caller] = now
--- a/hollystage/interface.py
+++ b/hollystage/interface.py
@@ -241,6 +241,7 @@
         is_retry: Whether the caller marked it as a retry or a second copy.
         earlier: The remembered RPC with the same idempotency key, if there is one.
         work_hint: The caller's estimate of its work, microseconds on a usual core; 0 if none was given.
+        kept_connection: Whether its connection has carried an RPC before.
         due: Time by which it has to be answered.
         target: Time up to which its answer has its full value.
         tag: Finish tag; the queues are ordered by it.
@@ -267,6 +268,7 @@
     is_retry: bool = False
     earlier: Rpc | None = None
     work_hint: int = 0
+    kept_connection: bool = False
     due: int = 0
     target: int = 0
     tag: int = 0
--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -370,7 +370,8 @@
             return None
         work_hint = min(round(header.cost_ms * 1000), MAX_HINT_DEADLINES * method.deadline)
         rpc = Rpc(method, header.caller, self.tenants.find(header.tenant), header.memory_kb, timeout, unread_time,
-                  header.is_retry, work_hint=work_hint)
+                  header.is_retry, work_hint=work_hint, kept_connection=connection.has_sent_rpc)
+        connection.has_sent_rpc = True
         key = (name, header.idempotency_key) if method.kind is MethodKind.KEYED and header.idempotency_key else None
         exchange = Exchange(rpc, header.request_id, key, request.body if key else b"")
         error = self.driver.arrived(exchange)
--- a/hollystage/service/connection.py
+++ b/hollystage/service/connection.py
@@ -26,6 +26,7 @@
         self.sock = sock
         self.opened_at = self.idle_since = time.monotonic()  # idle_since is 0 while a message is handled
         self.message_received = False  # at least one whole message was read
+        self.has_sent_rpc = False  # at least one valid RPC was read
         self.reading_shut = False  # by us; a message in transit is still answered
         self.idle_at_shut = False  # it was idle when we shut it: a message in transit may still be completed
         self.peer_closed = False  # the caller closed its side
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -5,7 +5,7 @@
 import time
 
 import pytest
-from helpers import SECOND, Caller, ControlHarness, Interpreter, ServiceHarness, booking, lookup
+from helpers import SECOND, TICK, Caller, ControlHarness, Interpreter, ServiceHarness, booking, lookup
 from test_service import KEY, RPC, process  # noqa: F401 (a fixture)
 
 from hollystage.decisions.message_rate import BURST, MESSAGE_INTERVAL
@@ -83,6 +83,15 @@
     assert len(control.due_queue) <= 100 and len(control.last_seen) <= 4097 and len(control.clients) == 1
 
 
+def test_caller_under_ever_new_numbers_does_not_end_the_connections_of_others():
+    # guards against resets: such a caller lowered the idle limit of all connections to 10 ms
+    harness = ControlHarness(lookup(), max_idle=20 * SECOND)
+    for number in range(300):
+        harness.send(timeout=-1, caller=number, kept_connection=number > 0)
+        harness.advance(TICK)
+    assert harness.control.idle_limit == 20 * SECOND
+
+
 def test_keys_of_rpcs_that_were_replaced_leave_nothing_behind():
     # guards against a caller that repeats a queued RPC at full speed: each one was remembered for its window
     harness = ControlHarness(booking(window=3600 * SECOND))
