Unread RPCs of a caller that has closed are dropped even if the watching thread is late

Cause: the check for a close read only the mark of the watching thread, which comes late under load. Seen with that thread stopped: of 20 RPCs behind each other the second was run after the close.

Change: the check asks the system. Why it works: the end of the stream is visible as soon as it is in the buffer, before any RPC behind the one being served is read; our own shutdown of the reading side, which looks the same, is told apart under the lock.

--- a/hollystage/service/clients.py
+++ b/hollystage/service/clients.py
@@ -426,8 +426,10 @@
                               exchange.rpc.method.skip_share > 0)
 
     def _is_closed_by_caller(self, connection: Connection) -> bool:
+        """Whether the caller has closed its side; asks the system, as the watching thread may not know it yet."""
+        closed = closed_by_peer(connection.sock)
         with self.lock:
-            return connection.peer_closed
+            return connection.peer_closed or closed and not connection.reading_shut  # our own shutdown looks the same
 
     def _attach_exchange(self, connection: Connection, exchange: Exchange) -> None:
         """From now on a close of the connection is reported for this RPC."""
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -1,15 +1,18 @@
 """Clients that take all they can get, at the full extent of the limits: memory stays bounded, others are served."""
 import contextlib
 import resource
+import socket
+import struct
 import threading
 import time
 
 import pytest
-from helpers import SECOND, TICK, Caller, ControlHarness, Interpreter, ServiceHarness, booking, lookup
+from helpers import SECOND, TICK, Caller, ControlHarness, Interpreter, ServiceHarness, booking, lookup, wait_until
 from test_service import KEY, RPC, process  # noqa: F401 (a fixture)
 
 from hollystage.decisions.message_rate import BURST, MESSAGE_INTERVAL
 from hollystage.interface import ActionKind, Method, MethodKind
+from hollystage.service.clients import ClientConnections
 from hollystage.service.exchange import Exchange
 from hollystage.service.idempotency import IdempotencyTable
 from hollystage.standins.caller import REQUEST_NUMBERS
@@ -142,3 +145,31 @@
     with contextlib.suppress(OSError):
         while sock.recv(1 << 16):
             pass
+
+
+# Callers that leave
+
+METHODS = pytest.mark.parametrize("method", ["lookup", "booking", "order"])
+
+
+def rpc_of(method, request_id):
+    rpc = RPC.replace(b"/svc/lookup", b"/svc/" + method.encode()).replace(b"0123456789abcdef", request_id)
+    return rpc.replace(b"1764576000123", b"%d\r\nIdempotency-Key: %s" % (time.time() * 1000, request_id))
+
+
+@METHODS
+@pytest.mark.parametrize("reset", [False, True])
+def test_unread_rpcs_of_a_caller_that_has_left_are_not_run(monkeypatch, method, reset):
+    # guards against unread RPCs that were sent on after their client had closed, before the watching thread noticed
+    monkeypatch.setattr(ClientConnections, "watch_connections", lambda clients: None)
+    with ServiceHarness(Interpreter(auto=False)) as harness:
+        caller = harness.caller()
+        caller.sock.sendall(b"".join(rpc_of(method, b"%016x" % number) for number in range(1, 21)))
+        first, = harness.interpreter.await_runs()
+        if reset:
+            caller.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        caller.sock.close()
+        harness.interpreter.end(first, b"served")
+        wait_until(lambda: not harness.instance.clients.count())
+        assert [command["req"] for command in harness.interpreter.commands("APPLY")] == [f"{1:016x}"]
+        assert not harness.instance.driver.exchanges
