An id of a run that may not run twice is refused when it comes again after the run

Cause: Driver.arrived refuses an id only while its RPC is open; after the end of a run without a caller nothing was known of it. Seen for non-idempotent RPCs, and for keyed ones under another key.

Why it works: a second START of an id needs a second arrival, and each is checked under the driver's lock.

--- a/hollystage/service/driver.py
+++ b/hollystage/service/driver.py
@@ -13,13 +13,16 @@
 
 from ..control import Control
 from ..decisions.draining.drain_notice import DrainNotice
-from ..interface import Action, ActionKind, Outcome, PoolConfig, Rpc, Settings
+from ..decisions.recent_ids import RecentIds
+from ..interface import Action, ActionKind, MethodKind, Outcome, PoolConfig, Rpc, Settings
 from .counters import Counters
 from .exchange import CALLER_DISCONNECTED, Exchange, RunResult
 from .idempotency import IdempotencyTable
 
 GAUGE_LEAD_TIME = 10_000  # microseconds before the module's timer at which the gauges are requested
 MAX_GAUGE_AGE = 1_000_000  # microseconds; older gauges are ignored
+# microseconds past the longest deadline for which the id of a run is kept; RPCs that were sent earlier are refused
+STARTED_ID_RETENTION = 40_000_000
 # longest wait for the check whether a drain signal is pending; interval between two polls of its result
 SIGNAL_CHECK_TIMEOUT_S, SIGNAL_CHECK_POLL_S = 0.5, 0.005
 
@@ -62,7 +65,10 @@
         self.interpreter: InterpreterCommands
         self.exchanges: dict[str, Exchange] = {}
         self.exchange_by_rpc: dict[Rpc, Exchange] = {}
-        self.idempotency_table = IdempotencyTable(max(method.deadline for method in settings.methods))
+        longest_deadline = max(method.deadline for method in settings.methods)
+        self.idempotency_table = IdempotencyTable(longest_deadline)
+        # runs of methods that may not run twice
+        self.started_ids = RecentIds(longest_deadline + STARTED_ID_RETENTION, clock())
         self.gauges: dict[str, float] = {}
         self.gauges_at = self.calls_ended = 0
         self.load_signal: float | None = None  # sent to callers in X-Load-Signal
@@ -100,6 +106,8 @@
                     rpc.answered = True
                     exchange.post(Action(ActionKind.ABORT, rpc))
                     return ""
+            if rpc.earlier is None and exchange.id_number in self.started_ids:
+                return "x-request-id belongs to an RPC that has run"
             self.exchanges[exchange.request_id] = self.exchange_by_rpc[rpc] = exchange
             now = clock()
             self.control.arrived(rpc, now)
@@ -297,6 +305,8 @@
             exchange = self.exchange_by_rpc.get(action.rpc)
             if exchange is None:
                 continue
+            if action.kind is ActionKind.START and action.rpc.method.kind is not MethodKind.IDEMPOTENT:
+                self.started_ids.add(exchange.id_number, now)
             if action.kind is ActionKind.KEEP:
                 self.idempotency_table.add(exchange, action.duration, now)
             elif action.kind is ActionKind.FORGET:
@@ -332,6 +342,8 @@
     def _finish_run(self, exchange: Exchange, outcome: Outcome, duration: int, result: bytes, now: int) -> None:
         """Reports the end of a run to the module, to the RPC's thread and to the repeats that joined it."""
         exchange.run_ended, unanswered = True, not exchange.rpc.answered
+        if outcome is Outcome.MOOT:
+            self.started_ids.discard(exchange.id_number)  # it never ran
         run_result = RunResult(outcome, result)
         self.control.finished(exchange.rpc, outcome, duration, now)
         if unanswered:
--- a/hollystage/service/exchange.py
+++ b/hollystage/service/exchange.py
@@ -43,6 +43,11 @@
         self.pending_call: tuple[int, bytes] = (0, b"")  # offset of the notice and payload of the downstream call
         self.cancel_call: Callable[[], None] | None = None  # cancels the downstream call that the thread is in
 
+    @property
+    def id_number(self) -> int:
+        """The request id as a number, whatever the case of its digits."""
+        return int(self.request_id, 16)
+
     @property
     def is_open(self) -> bool:
         """Whether the decision module still tracks the RPC."""
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -173,3 +173,31 @@
         wait_until(lambda: not harness.instance.clients.count())
         assert [command["req"] for command in harness.interpreter.commands("APPLY")] == [f"{1:016x}"]
         assert not harness.instance.driver.exchanges
+
+
+@METHODS
+@pytest.mark.parametrize("first_end", ["good", "cut", "gone"])
+def test_id_that_comes_again_after_its_caller_left_runs_once(method, first_end):
+    # guards against a second run of an id whose first caller had left
+    with ServiceHarness(Interpreter(auto=False)) as harness:
+        driver, request_id = harness.instance.driver, "00000000abcdef12"
+        caller = harness.caller().send(method, request_id=request_id, Idempotency_Key="a")
+        harness.interpreter.await_runs()
+        caller.sock.close()
+        wait_until(lambda: harness.count("rpc.gone"))
+        harness.interpreter.send_notice("VALUE", request_id, b"served", result=first_end, elapsed_ms=1)
+        wait_until(lambda: not driver.exchanges)
+        # the same id under another key, with its letters in the other case
+        again = harness.caller().send(method, request_id=request_id.upper(), Idempotency_Key="b")
+        if method == "lookup" or first_end == "gone":  # may run twice, or never ran
+            wait_until(lambda: len(harness.interpreter.commands("APPLY")) == 2)
+        else:
+            assert again.receive().status == 400 and len(harness.interpreter.commands("APPLY")) == 1
+
+
+def test_repeat_under_the_same_id_and_key_gets_the_result_of_the_run():
+    with ServiceHarness(Interpreter()) as harness:
+        results = [harness.caller().request("booking", request_id="00000000abcdef12", Idempotency_Key="a")
+                   for _ in range(2)]
+        assert [result.status for result in results] == [200, 200] and results[0].body == results[1].body
+        assert len(harness.interpreter.commands("APPLY")) == 1
