Test of unknown tenants: the BANNER comes before or after the first RPC, not at any time

Cause, traced by holding the BANNER back: the test took the decision module at the start; a BANNER that arrives before the first RPC replaces the module, and then the one it had taken knows no client (0, the present one 1); with the BANNER after the first RPC both are the same (1). The product loses nothing: the module is replaced only while no RPC has been read.

The same early look at the module in test_run_slot_is_released_when_apply_fails is mended.

--- a/tests/test_races.py
+++ b/tests/test_races.py
@@ -218,11 +218,11 @@
 
 def test_run_slot_is_released_when_apply_fails():
     with ServiceHarness() as harness:
-        link, control = harness.instance.link, harness.instance.driver.control
+        link, driver = harness.instance.link, harness.instance.driver
         link.apply = failing(link.apply, MemoryError("none left"))
         assert harness.caller().request().status == 500
-        wait_until(lambda: not harness.instance.driver.exchanges)
-        assert control.state_counts[RUNNING] == 0 and harness.count("clients.crashed") == 1
+        wait_until(lambda: not driver.exchanges)
+        assert driver.control.state_counts[RUNNING] == 0 and harness.count("clients.crashed") == 1
         assert harness.caller().request().status == 200
 
 
--- a/tests/test_tenants.py
+++ b/tests/test_tenants.py
@@ -55,12 +55,23 @@
         assert harness.caller().request(X_Tenant="walk-up", X_Cost_Ms="3").status == 200
 
 
-def test_unknown_tenants_use_no_memory_and_are_ignored_without_tenants_in_the_settings():
-    with with_tenants(Interpreter()) as harness:
-        caller, control = harness.caller(), harness.instance.driver.control
+@pytest.mark.parametrize("banner_first", [True, False])
+def test_unknown_tenants_use_no_memory_and_are_ignored_without_tenants_in_the_settings(banner_first):
+    interpreter = Interpreter(banner="")  # sent below: the module is replaced at a BANNER that precedes the first RPC
+    with with_tenants(interpreter) as harness:
+        caller, driver = harness.caller(), harness.instance.driver
+        first_control = driver.control
+        wait_until(lambda: interpreter.commands("CONNECT"))
+        if banner_first:
+            interpreter.send_banner("old")
+            wait_until(lambda: driver.control is not first_control)
+        else:
+            threading.Timer(0.1, interpreter.send_banner, ["old"]).start()
         for number in range(200):
             assert caller.request(X_Tenant=f"nobody-{number}").status == 200
-        assert len(control.clients) == 1 and len(harness.instance.clients.tenants.tenant_by_name) == len(TENANTS)
+        assert (driver.control is first_control) is not banner_first
+        assert len(driver.control.clients) == 1
+        assert len(harness.instance.clients.tenants.tenant_by_name) == len(TENANTS)
         assert harness.count("rpc.unknown_tenant") == 200
     assert TenantDirectory([], [], None, None).find("anybody") is None
 
