Client connections are bounded by the memory of the settings too, not by descriptors alone

Cause: max_client_connections looked at descriptors alone; limits.memory_mb was read and not used. Measured: 704 clients with half of the largest message each take a process to 89 MB, whatever the limit is.

Change: at most 64 KiB for each connection beyond 48 MB of the process; the number is in the log of a start. Why it works: a connection with its thread, buffers and the largest message takes some 70 KB less what is shared (89 MB - 41 MB for 704). With 192 MB nothing changes up to 3,350 descriptors.

--- a/hollystage/service/connection.py
+++ b/hollystage/service/connection.py
@@ -15,6 +15,9 @@
 # wait for the rest of a message that was in transit when we shut the reading side; interval between two polls
 PENDING_MESSAGE_S, PENDING_MESSAGE_POLL_S = 0.5, 0.01
 RESERVED_DESCRIPTORS = 12  # descriptors kept for the listener, the interpreter link, reports and files
+# memory of a process without connections; of a connection with a thread, its buffers and the largest message
+PROCESS_MEMORY_MB, CONNECTION_MEMORY_KB = 48, 64
+MIN_CONNECTIONS_BY_MEMORY = 16  # with less memory than this takes, an instance serves all the same
 ACKNOWLEDGEMENT_POLL_MS = 5  # interval between two checks whether all output was acknowledged
 C_INT = struct.Struct("i")
 
@@ -57,13 +60,17 @@
         return False
 
 
-def max_client_connections(sockets: int, calls: int) -> int:
-    """Returns the maximum number of client connections; `calls` of `sockets` descriptors are for downstream calls.
+def max_client_connections(sockets: int, calls: int, memory_mb: float) -> int:
+    """Returns the maximum number of client connections that the descriptors and the memory allow.
 
-    >>> max_client_connections(1024, 128), max_client_connections(32, 4)
-    (704, 16)
+    `calls` of `sockets` descriptors are for downstream calls; `memory_mb` is the limit of the process.
+
+    >>> [max_client_connections(*limits) for limits in ((1024, 128, 192), (32, 4, 192), (1024, 128, 64))]
+    [704, 16, 256]
     """
-    return min(sockets * 11 // 16, sockets - calls - RESERVED_DESCRIPTORS)
+    by_descriptors = min(sockets * 11 // 16, sockets - calls - RESERVED_DESCRIPTORS)
+    by_memory = int((memory_mb - PROCESS_MEMORY_MB) * 1024 / CONNECTION_MEMORY_KB)
+    return min(by_descriptors, max(MIN_CONNECTIONS_BY_MEMORY, by_memory))
 
 
 def has_unread_bytes(sock: socket.socket) -> bool:
--- a/hollystage/service/instance.py
+++ b/hollystage/service/instance.py
@@ -58,7 +58,7 @@
                                   self.counters, log)
         self.clients = ClientConnections(
             config.address("listen"), names, tenants, self.driver, self.link, self.ledger,
-            max_client_connections(sockets, calls), pool, self.counters, log)
+            max_client_connections(sockets, calls, config.limits.memory_mb), pool, self.counters, log)
         self.peers = self._make_peers()
         if self.peers is not None:
             self.health_reporter.start_delay_us = self.peers.recovery.jitter.delay(
@@ -80,7 +80,7 @@
                      self.health_reporter.run_reports,
                      *(self.peers.tasks() if self.peers is not None else ())):
             threading.Thread(target=self._run_task, args=(task,), name=task.__qualname__, daemon=True).start()
-        self.log.info("serving", listen=self.config.listen)
+        self.log.info("serving", listen=self.config.listen, max_connections=self.clients.max_connections)
         if self.config.overruled:
             self.log.info("JSON overrides keys of the plan", keys=self.config.overruled)
         if self.config.plan is not None and self.config.plan.sections_without_effect():
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -65,6 +65,23 @@
     assert peak_memory_kb(started) < HALF_OF_THE_LIMIT_KB
 
 
+@pytest.mark.parametrize("process", [{"limits": {"memory_mb": 64, "sockets": 1024}},
+                                     {"limits": {"memory_mb": 80, "sockets": 4096}}], indirect=True)
+def test_connections_fit_into_the_memory_of_the_settings(process, many_descriptors):  # noqa: F811
+    # guards against more connections than the memory holds, where the settings allow many descriptors
+    started, harness = process
+    memory_mb = harness.json_config["limits"]["memory_mb"]
+    clients = [Caller(harness.listen) for _ in range(1200)]
+    for client in clients:
+        with contextlib.suppress(OSError):  # evicted
+            client.sock.sendall(rpc_head(LONG_FIELDS, b"lookup") + b"x" * 1024)
+    caller = harness.caller().send("order")
+    harness.interpreter.end(harness.interpreter.await_runs()[0], b"served")
+    assert caller.receive().body == b"served"
+    time.sleep(2.0)  # all that waited to be accepted has been
+    assert peak_memory_kb(started) < memory_mb * 1024
+
+
 # One client at full speed, in the decision module and its tables
 
 ORDER = Method(MethodKind.NON_IDEMPOTENT, 2.0, 2 * SECOND, 6 * SECOND)
