Threads that decode nested input have the stack for it: SIGHUP no longer ends the process

A RecursionError of a notice ended the reader's loop with the offset unmoved.

Change: service/threads.py; 8 MiB for the reload thread and the tasks of the instance, 256 KiB stays for connections; a notice nested too deeply is skipped like a TRACE. Why it works: the decoder's own limit is reached long before the end of the stack.

--- a/hollystage/cli.py
+++ b/hollystage/cli.py
@@ -41,6 +41,7 @@
     from .service.driver import clock
     from .service.instance import Instance
     from .service.log import setup
+    from .service.threads import start_thread
 
     # the driver sends SIGURG to have pending signals checked after the process was suspended
     watched = {signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP, signal.SIGURG}
@@ -64,8 +65,7 @@
     instance.start()
     reload_requested = threading.Event()
     # files are read by another thread, so that a drain signal is received even while a read blocks
-    threading.Thread(target=_run_reloads, args=(reload_requested, instance, config, plan, plan_key),
-                     daemon=True).start()
+    start_thread(_run_reloads, reload_requested, instance, config, plan, plan_key)
     drain: threading.Thread | None = None
     polling = True  # the next wait only checks for a pending signal
     while drain is None or drain.is_alive():  # addresses may change during a drain too
--- a/hollystage/service/instance.py
+++ b/hollystage/service/instance.py
@@ -22,11 +22,11 @@
 from .interpreter import InterpreterLink
 from .ledger_client import LedgerClient
 from .tenants import TenantDirectory
+from .threads import CONNECTION_STACK_BYTES, start_thread
 
 if TYPE_CHECKING:
     from .peers import Peers
 
-THREAD_STACK_BYTES = 256 * 1024
 KILL_MARGIN_S = 0.1  # time left between the end of the drain and the kill
 MIN_DRAIN_S = 0.5  # minimum time for open RPCs if the drain signal was received late
 ADDRESS_KEYS = ("vm", "ledger", "control")
@@ -74,12 +74,12 @@
 
     def start(self) -> None:
         """Starts the threads and returns."""
-        threading.stack_size(THREAD_STACK_BYTES)  # also applies to the threads of later connections
+        threading.stack_size(CONNECTION_STACK_BYTES)  # for the threads of later connections
         for task in (self.link.run_writer, self.link.run_reader, self.driver.run_timer,
                      self.clients.watch_connections, self.clients.accept_connections,
                      self.health_reporter.run_reports,
                      *(self.peers.tasks() if self.peers is not None else ())):
-            threading.Thread(target=self._run_task, args=(task,), name=task.__qualname__, daemon=True).start()
+            start_thread(self._run_task, task, name=task.__qualname__)
         self.log.info("serving", listen=self.config.listen, max_connections=self.clients.max_connections)
         if self.config.overruled:
             self.log.info("JSON overrides keys of the plan", keys=self.config.overruled)
--- a/hollystage/service/notices.py
+++ b/hollystage/service/notices.py
@@ -43,6 +43,8 @@
     def decode(self, line: bytes) -> Notice:
         """Decodes a line; one that is valid only as a TRACE yields a TRACE notice with its offset.
 
+        A line that is nested too deeply to be decoded yields one without an offset: no other notice is nested.
+
         Raises:
             msgspec.DecodeError: the line is no notice.
         """
@@ -50,3 +52,5 @@
             return self.decoder.decode(line)
         except msgspec.ValidationError:
             return Notice("TRACE", msgspec.json.decode(line, type=TraceNotice).offset)
+        except RecursionError:
+            return Notice("TRACE")
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -751,6 +751,26 @@
         assert words in log
 
 
+BRACKETS = ((b"[", b"]"), (b'{"x":', b"}"), (b'[{"x":', b"}]"))
+NESTED_JSON = [opening * depth + b"1" + closing * closed for opening, closing in BRACKETS
+               for depth, closed in ((490, 490), (990, 990), (100_000, 0))]
+
+
+def test_sighup_with_deeply_nested_json_is_rejected_with_one_line(process, tmp_path):
+    # guards against a process that ended with signal 11 at the end of a thread's stack (review/10)
+    started, harness = process
+    valid = json.dumps(harness.json_config).encode()
+    for nested in NESTED_JSON:
+        (tmp_path / "config.json").write_bytes(valid[:-1] + b', "unknown": ' + nested + b"}")
+        started.send_signal(signal.SIGHUP)
+        read_log(started, "configuration")  # taken, or rejected
+    for nested in NESTED_JSON:
+        harness.interpreter.sock.sendall(b'{"cmd":"TRACE","offset":0,"x":' + nested[:12_000] + b"}\n")
+    caller = harness.caller().send("order")
+    harness.interpreter.end(harness.interpreter.await_runs()[0], b"served")
+    assert caller.receive().body == b"served" and started.poll() is None
+
+
 @pytest.mark.parametrize("process", [{"settings": LONG_DEADLINES}], indirect=True)
 def test_last_valid_of_five_configurations_in_a_row_is_in_force(process, tmp_path):
     """The third is invalid and its file is being read while the last two arrive. RPCs and connections stay."""
