The reserve for calls stays within the limit on calls, at any time and not in the mean

Cause: a reserve of less than one slot got a whole slot beyond the limit for a part of the time. That suits the cores; for calls the limit may be a part of a budget.

Change: the allocator of calls takes a fraction for the reserve from the pools, and Queues._next_queue, which each call passes, gives none while the limit is used. Why it works: no call starts unless the calls in flight and lingering leave a whole slot.

--- a/hollystage/decisions/calls/pools.py
+++ b/hollystage/decisions/calls/pools.py
@@ -41,10 +41,14 @@
 
 
 class SlotAllocator:
-    """Allocates the slots of one kind, cores or calls, to the pools and to the reserve."""
+    """Allocates the slots of one kind, cores or calls, to the pools and to the reserve.
 
-    def __init__(self, pools: Sequence[Pool], reserve: float, now: int) -> None:
-        self.pools, self.reserve_share = pools, reserve
+    `within_limit`: whether a fraction of a slot for the reserve is taken from the pools, so that the limit holds at
+    any time. Else it comes on top, so that the limit holds in the mean.
+    """
+
+    def __init__(self, pools: Sequence[Pool], reserve: float, now: int, within_limit: bool = False) -> None:
+        self.pools, self.reserve_share, self.within_limit = pools, reserve, within_limit
         self.usage = [SlotUsage(updated_at=now) for _ in pools]
         self.non_lending = [number for number, pool in enumerate(pools) if not pool.lends]
         self.limit = 0.0
@@ -103,8 +107,14 @@
         `in_use`: all used slots, including those of RPCs without a pool, which started before pools were configured.
         """
         count, self.limit = len(self.pools), limit
-        free = limit - self.reserved_slots(limit) - (in_use - self.reserve_in_use)
-        if free >= 1 or not in_use and not self.reserved_slots(limit):
+        reserve_may_start = head_tags[count] is not None and self.reserve_available(limit, now)
+        reserved = self.reserved_slots(limit)
+        if self.within_limit and reserve_may_start:
+            reserved = max(reserved, self.reserve_in_use + 1)
+        free = limit - reserved - (in_use - self.reserve_in_use)
+        if self.within_limit:
+            free = min(free, limit - in_use)
+        if free >= 1 or not in_use and not reserved:
             chosen = self._smallest_tag(
                 head_tags, lambda pool: self.usage[pool].in_use + 1 <= self.pools[pool].guaranteed * limit)
             if chosen == NO_POOL:
@@ -116,7 +126,7 @@
             if borrower != NO_POOL:
                 self.usage[borrower].borrowed_starts += 1
                 return borrower
-        if head_tags[count] is not None and self.reserve_available(limit, now):
+        if reserve_may_start and (in_use + 1 <= limit or not self.within_limit):
             return count
         return NO_POOL
 
@@ -191,7 +201,8 @@
     def __init__(self, pooling: PoolConfig, calls: float, now: int, previous: Pools | None = None) -> None:
         self.pooling = pooling
         self.cores = SlotAllocator(pooling.pools, pooling.reserve.running, now)
-        self.calls = SlotAllocator(pooling.pools, pooling.reserve.calls, now)
+        # the limit on calls protects the dependency and may be this instance's part of a budget: never exceeded
+        self.calls = SlotAllocator(pooling.pools, pooling.reserve.calls, now, within_limit=True)
         self.retry_budgets = [RetryBudget(pool.retry_ratio, pool.min_retries_per_s, now=now)
                               for pool in pooling.pools]
         self.cheapest = CheapestMethods()
--- a/hollystage/policy/queues.py
+++ b/hollystage/policy/queues.py
@@ -148,6 +148,8 @@
         heads = [self._head(queue, state) for queue in queues]
         if self.pools is None:
             return queues[0] if heads[0] is not None and taken + 1 <= limit else None
+        if state == WAITING and taken + 1 > limit:
+            return None  # no pool and no reserve may call beyond the limit, which others share
         chosen = (self.pools.next_to_start if state == QUEUED else self.pools.next_to_call)(
             limit, heads, taken, self.now)
         if chosen == NO_POOL:
--- a/tests/test_pools.py
+++ b/tests/test_pools.py
@@ -115,6 +115,19 @@
     assert used[2] == pytest.approx(2, rel=0.1) and sum(used) == pytest.approx(10, rel=0.02)
 
 
+@pytest.mark.parametrize("limit, reserve", [(12, 0.05), (4, 0.2), (3, 0.5), (1, 0.3)])
+def test_reserve_for_calls_stays_within_the_limit_and_gets_its_share_in_the_mean(limit, reserve):
+    allocator, now, ends, used, most = SlotAllocator([Pool("a", 1.0)], reserve, 0, within_limit=True), 0, [], 0, 0
+    while now < 20 * SECOND:
+        while (chosen := allocator.choose(limit, [now, now], len(ends), now)) != NO_POOL:
+            allocator.add(0, 1, now, chosen == 1)
+            ends = sorted([*ends, (now + 10_000, chosen == 1)])
+            used, most = used + 10_000 * (chosen == 1), max(most, len(ends))
+        now, on_reserve = ends.pop(0)
+        allocator.add(0, -1, now, on_reserve)
+    assert most == limit and used / now == pytest.approx(reserve * limit, rel=0.2)
+
+
 @settings(max_examples=200, deadline=None, derandomize=True, database=None)
 @given(st.lists(st.floats(0.01, 1), min_size=1, max_size=6), st.integers(1, 12),
        st.lists(st.tuples(st.booleans(), st.integers(0, 5), st.integers(1, 200_000)), max_size=60))
@@ -353,11 +366,27 @@
         assert control.pools.in_progress == [started.count(number) for number in range(control.pools.count)]
 
 
+def check_calls_at_each_dispatch(control):
+    """Lets each dispatch that makes calls check that there are no more of them than the limit allows."""
+    compute, make_calls, allowed = control.pacer.allowed, control._make_waiting_calls, []
+    control.pacer.allowed = lambda limit, now: allowed.append(compute(limit, now)) or allowed[-1]
+
+    def checked():
+        before = control.state_counts["calling"]
+        make_calls()
+        calls = control.state_counts["calling"]
+        assert calls <= before or calls + len(control.lingering_calls) <= allowed[-1]
+    control._make_waiting_calls = checked
+
+
 @pytest.mark.parametrize("seed", range(40))
 def test_queues_and_pools_agree_with_the_rpcs_after_any_events(seed):
-    # guards against counts below 0 and RPCs that never get their call, after pools were removed and added again
+    # guards against counts below 0 and RPCs that never get their call, after pools were removed and added again, and
+    # against calls of the reserve beyond the limit (review/9)
     rng = random.Random(seed)
-    harness = pooled_harness(pooling=rng.choice(POOLINGS), calls_out=4.0, halt=Halt.NONE)
+    calls_out = rng.choice((0.3, 1.0, 4.0, 20.0))
+    harness = pooled_harness(pooling=rng.choice(POOLINGS), calls_out=calls_out, halt=Halt.NONE)
+    check_calls_at_each_dispatch(harness.control)
     rpcs = []
     for _ in range(250):
         started = [rpc for rpc in rpcs if rpc.state in ("running", "calling")]
