An allocation of nothing allows no call, however long no tick comes

Cause: without units calls were postponed by 200 ms from each tick; after a longer suspension another event may come before the tick, and the pacer allows a first call at any limit above 0 once its debt is paid.

Change: postponed without an end, until an allocation is applied. Why it works: the only place that ends it is the one that applies units of 1 or more.

--- a/hollystage/service/budget_limiter.py
+++ b/hollystage/service/budget_limiter.py
@@ -14,7 +14,7 @@
 
 MIN_LIMIT_SHARE = 0.25  # lower bound of the call limit as a share of the allocation
 BUDGET_BOUND_SHARE = 0.9  # share of the allocation; RPCs that wait under a lower call limit are not counted as demand
-NO_CALLS_INTERVAL = 200_000  # microseconds for which calls are postponed without an allocation, renewed at each tick
+NEVER = 1 << 62  # a time, microseconds; an allocation of nothing allows no call, however long no tick comes
 CLOSED_LIMIT = 0.001  # calls; both bounds of the call limit while there is no allocation
 
 
@@ -58,7 +58,7 @@
                 break
         if units < 1:
             control.call_limit.set_bounds(CLOSED_LIMIT, CLOSED_LIMIT)
-            control.next_call_at = max(control.next_call_at, now + NO_CALLS_INTERVAL)
+            control.next_call_at = NEVER
             self.closed = True
         else:
             if self.closed:
--- a/tests/test_allotment.py
+++ b/tests/test_allotment.py
@@ -85,6 +85,21 @@
     assert calls(harness) == 1
 
 
+def test_event_after_a_suspension_makes_no_call_without_an_allocation():
+    # guards against a call without units by the first event after a suspension of more than 200 ms (review/3)
+    harness, limiter, endpoint, rpcs = harness_with((FOREVER, 0))
+    limiter.tick(harness.control, 1.0, harness.now)
+    harness.control.pacer.debt = 0.0  # as after a while without calls
+    for pause in (300_000, 390_000, 5 * SECOND):
+        harness.now += pause
+        harness.disconnect(rpcs.pop())
+        assert calls(harness) == 0
+    endpoint.steps = {"calls": ((FOREVER, 1),)}
+    limiter.tick(harness.control, 1.0, harness.now)
+    harness.flush()
+    assert calls(harness) == 1
+
+
 def test_expired_allocation_is_replaced_before_the_next_decision():
     harness, limiter, endpoint, rpcs = harness_with((11 * SECOND, 6), (FOREVER, 1))
     assert limiter.update_limit(harness.control, harness.now) == 11 * SECOND and calls(harness) == 6
