The rig copies a member's state without the file that the member is writing

A fault of the stand-in, not of the product.

Change: files that are being written are left out of the copy. Test: a file that is there when listed and gone when copied; it failed before with the same error.

--- a/hollystage/standins/fleet/rig.py
+++ b/hollystage/standins/fleet/rig.py
@@ -436,7 +436,8 @@
     def _save_state(self, name: str) -> None:
         """Copies the state folder of a member, as the old state of a later start."""
         state = os.path.join(self.folder, f"state-{name}")
-        shutil.copytree(state, state + ".old", dirs_exist_ok=True)
+        # the member runs: a file that it is writing is renamed when it is whole, and may vanish while it is copied
+        shutil.copytree(state, state + ".old", dirs_exist_ok=True, ignore=shutil.ignore_patterns("*.new"))
         self.history.write("saved", name)
 
     def _prepare_state(self, name: str, how: str) -> None:
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -121,6 +121,17 @@
     assert code == 1 and rule in {violation["rule"] for violation in report["violations"]}
 
 
+def test_state_is_saved_while_the_member_writes_it(tmp_path):
+    # guards against a run that ended because a file was renamed while it was copied
+    rig = Rig(Schedule(1), str(tmp_path))
+    (tmp_path / "state-m0").mkdir()
+    (tmp_path / "state-m0" / "snapshot").write_bytes(b"whole")
+    os.symlink(tmp_path / "renamed", tmp_path / "state-m0" / "snapshot.new")  # there when listed, gone when copied
+    rig._save_state("m0")
+    assert os.listdir(tmp_path / "state-m0.old") == ["snapshot"]
+    rig.network_reservation.close()
+
+
 def test_a_signal_is_recorded_before_it_can_end_the_process(tmp_path):
     rig = Rig(Schedule(1), str(tmp_path))
     recorded_before = []
